--- /dev/null
+++ b/maddercart/__init__.py
@@ -0,0 +1,1 @@
+"""maddercart: a load balancer of which every client process has its own copy."""
--- /dev/null
+++ b/maddercart/interface.py
@@ -0,0 +1,134 @@
+"""What goes into the decisions and what comes out of them.
+
+The host owns the clock, the sockets (or the simulator's wire) and the timers. It makes one call on a
+`Balancer` for each thing that happens and then pulls decisions, one by one, until there is none:
+
+    balancer.take(now, query, ...)
+    while (decision := balancer.decide(now)) is not None:
+        ...carry it out, in this order...
+
+Calls only update what is known. Times are whole nanoseconds of one clock that only advances; ids are the
+host's and come back unaltered. Everything a decision needs is in the call it follows or in earlier ones.
+
+Calls in
+    learn(now, entries, whole)      the list, or what changed on it; `whole` if everything else is gone
+    list_failed(now)                a `follow` did not work, or the subscription broke
+    take(now, query, offering, customer, remaining, key)   a query to be answered within `remaining`
+    outcome(now, query, upstream, number, duration, outcome, ended, report)   how a dispatch ended
+    started(now, query)             the answer has begun to stream: the dispatch now is the client's
+    left(now, query)                the client has gone; nothing is owed any more
+    probed(now, upstream, ok, duration, report)   how a probe ended
+    woken(now)                      a time that was asked for has come
+
+Decisions out: plain tuples, verb first
+    ("dispatch", query, upstream, limit)   send it; after `limit` (0: at the hard stop) it has timed out
+    ("cancel", query, number)              stop waiting for a dispatch
+    ("bounce", query, after)               final: a retry is harmless, best not before `after` (0: unsaid)
+    ("abort", query)                       final: nothing is promised
+    ("probe", upstream)
+    ("follow",)                            subscribe to changes of the list
+    ("wake", after)                        call `woken` once this much time has passed
+    ("note", text)                         a line for whoever is on call
+"""
+
+from typing import Final, NamedTuple
+
+SECOND: Final = 1_000_000_000
+MILLISECOND: Final = 1_000_000
+
+# How a dispatch ended. The last column of the table in the wire page is NEVER_RAN.
+DONE: Final = 1
+ERROR: Final = 2
+FULL: Final = 3
+TIMED_OUT: Final = 4
+UNREACHABLE: Final = 5
+RESET: Final = 6
+CANCELLED: Final = 7
+MOOT: Final = 8
+NEVER_RAN: Final = frozenset({FULL, UNREACHABLE, MOOT})
+
+# What the list says of an upstream.
+GONE: Final = 0
+READY: Final = 1
+DRAINING: Final = 2
+
+# What a query may suffer.
+REDOABLE: Final = 0
+LABELLED: Final = 1
+IRREVERSIBLE: Final = 2
+
+# Which upstreams drop each other's repeats of a labelled query.
+EVERYWHERE: Final = 0
+SAME_ZONE: Final = 1
+SAME_CELL: Final = 2
+
+Decision = tuple[str | int, ...]
+
+
+class Entry(NamedTuple):
+    """One line of the list; `launched` is 0 when the start was long ago."""
+
+    upstream: int
+    zone: int
+    kind: int
+    cell: int
+    condition: int
+    size: float
+    launched: int
+
+
+class Report(NamedTuple):
+    """What an upstream says of itself; a figure it does not give is below zero."""
+
+    held: float
+    waiting: float
+    service: int
+    rate: float
+
+
+class Offering(NamedTuple):
+    """One type of query. `earnings` are per query, or per unit of work where the settings say so."""
+
+    effect: int
+    group: int
+    window: int
+    agreed: int
+    earnings: float
+    late_earnings: float
+
+
+class Customer(NamedTuple):
+    """A customer and the queries a second, over all sidecars, that its share covers."""
+
+    share: float
+    quota: float
+
+
+class Place(NamedTuple):
+    """Where this sidecar stands."""
+
+    number: int
+    sidecars: int
+    zone: int
+    zones: int
+
+
+class ColdRule(NamedTuple):
+    """The rule on cold upstreams: over any `window`, no more than `multiple` of what one can do."""
+
+    start: float
+    ramp: int
+    multiple: float
+    window: int
+
+
+class Permits(NamedTuple):
+    """What the settings allow."""
+
+    dispatches: int
+    copies: bool
+    cancel: bool
+    probes: bool
+    come_back: int
+    grace: int
+    follow: bool
--- /dev/null
+++ b/maddercart/logic.py
@@ -0,0 +1,797 @@
+"""All decisions of maddercart: zone groups with canary-confirmed failover.
+
+A host makes one `Balancer` per sidecar, calls it for all that happens and then pulls `decide` until it
+answers None; calls and answers are documented in `maddercart/interface.py`. The design is that of
+docs/design.md: own zone group, failover and return by canaries, ejection after three failures in a row,
+the better of two random ready upstreams. Mechanisms beside it, with the conditions in docs/design.md:
+
+ 1. surplus      a query crosses zones only while its own zone cannot answer in time and another can
+ 2. early bounce a query is turned away when no upstream that may get it can answer it in time
+ 3. grey         an upstream failing or lagging on most of its last queries is ejected as if in a row
+"""
+
+from collections import deque
+from collections.abc import Iterator, Sequence
+from itertools import chain
+from random import Random
+from statistics import median
+
+from maddercart.interface import (
+    CANCELLED,
+    DONE,
+    FULL,
+    GONE,
+    IRREVERSIBLE,
+    LABELLED,
+    MILLISECOND,
+    MOOT,
+    NEVER_RAN,
+    READY,
+    REDOABLE,
+    RESET,
+    SAME_CELL,
+    SAME_ZONE,
+    SECOND,
+    TIMED_OUT,
+    UNREACHABLE,
+    ColdRule,
+    Customer,
+    Decision,
+    Entry,
+    Offering,
+    Permits,
+    Place,
+    Report,
+)
+
+# ---- Known upstreams: the list, drains, the cold budget
+
+
+class Upstream:
+    """One upstream as this sidecar knows it: its line on the list and what came back from it."""
+
+    SAMPLES = 8  # enough for a median that one odd answer cannot move, few enough to follow a change
+    FRESH = 3 * SECOND  # older samples tell of another load; about the time that a queue takes to turn
+
+    def __init__(self, entry: Entry) -> None:
+        self.entry = entry
+        self.told_off: int | None = None  # when we were told that it drains or is gone
+        self.out: dict[tuple[int, int], tuple[int, int]] = {}  # dispatch: when sent, how many were out
+        self.samples: deque[tuple[int, int, int]] = deque(maxlen=self.SAMPLES)  # end, duration, out then
+        self.sent_cold: deque[tuple[int, int]] = deque()  # when, how much work
+        self.report: tuple[int, Report] | None = None
+        self.outcomes: deque[bool] = deque(maxlen=self.SAMPLES)
+        self.failures = 0  # in a row
+        self.ejections = 0
+        self.canary_due: int | None = None  # set while ejected
+        self.canary_out = False
+        self.probe_out = False
+        self.probed_at = 0
+
+    def service(self) -> int:
+        """What a query takes here without waiting; 0 if unheard."""
+        if self.report is not None and self.report[1].service > 0:
+            return self.report[1].service
+        if not self.samples:
+            return 0
+        return sorted(duration for _, duration, _ in self.samples)[len(self.samples) // 4]
+
+    def expected(self, now: int, typical: int) -> int:
+        """How long one more query would take here, from the last few answers and those still owed."""
+        service = self.service() or typical
+        size = max(1.0, self.entry.size)
+        out = len(self.out)
+        recent = [(d, then) for ended, d, then in self.samples if now - ended < self.FRESH]
+        if recent:
+            base = median([d for d, _ in recent])
+            more = out - median([then for _, then in recent])
+        else:
+            base, more = service, out + 1 - size
+        estimate = max(service, int(base + more * service / size))
+        if self.report is not None and now - self.report[0] < self.FRESH:
+            queued = max(self.report[1].waiting, self.report[1].held - size, 0.0)
+            estimate = max(estimate, int(service * (1 + queued / size)))
+        if self.out:
+            estimate = max(estimate, now - next(iter(self.out.values()))[0])
+        return estimate
+
+
+class KnownUpstreams:
+    """The list as it was told, by zone, and what each upstream may still be sent."""
+
+    HEAVY = 1.5  # a query may be heavier than the middle one: a margin of half keeps a sum of few inside
+
+    def __init__(self, cold: ColdRule, sidecars: int, zones: int) -> None:
+        self.cold = cold
+        self.sidecars = sidecars
+        self.by_id: dict[int, Upstream] = {}
+        self.zones: list[list[Upstream]] = [[] for _ in range(zones)]  # those listed as ready
+
+    def learn(self, now: int, entries: Sequence[Entry], whole: bool) -> None:
+        if whole:
+            named = {entry.upstream for entry in entries}
+            for old in self.by_id.values():
+                if old.entry.upstream not in named:
+                    self.tell_off(now, old, GONE)
+        for entry in entries:
+            known = self.by_id.get(entry.upstream)
+            if known is None:
+                known = self.by_id[entry.upstream] = Upstream(entry)
+            elif entry.launched > known.entry.launched:
+                # It restarted: what we knew was of another process. What is still out is kept.
+                out = known.out
+                known = self.by_id[entry.upstream] = Upstream(entry)
+                known.out = out
+            known.entry = entry
+            if entry.condition == READY:
+                known.told_off = None
+            else:
+                self.tell_off(now, known, entry.condition)
+        for zone in self.zones:
+            zone.clear()
+        for known in self.by_id.values():
+            if known.entry.condition == READY:
+                self.zones[known.entry.zone].append(known)
+
+    @staticmethod
+    def tell_off(now: int, known: Upstream, condition: int) -> None:
+        known.entry = known.entry._replace(condition=condition)
+        if known.told_off is None:
+            known.told_off = now
+
+    def typical(self) -> int:
+        """The middle service time of all heard upstreams; 0 while none is heard."""
+        heard = [s for zone in self.zones for known in zone if (s := known.service())]
+        return int(median(heard)) if heard else 0
+
+    def allows(self, now: int, known: Upstream, work: int) -> bool:
+        """Whether our own part of a cold upstream's budget bears one more query.
+
+        Guards against all sidecars together pushing it over: each takes an equal part of what the rule
+        allows at the lowest capacity the settings permit for its age, counted as a single core's."""
+        age = now - known.entry.launched
+        if known.entry.launched == 0 or age >= self.cold.ramp:
+            return True
+        window = self.cold.window
+        while known.sent_cold and known.sent_cold[0][0] <= now - window:
+            known.sent_cold.popleft()
+        risen = max(0, age - window) / self.cold.ramp
+        capacity = self.cold.start + (1 - self.cold.start) * risen
+        budget = self.cold.multiple * capacity * window / self.sidecars
+        spent = sum(work for _, work in known.sent_cold)
+        return work > 0 and spent + work * self.HEAVY <= budget
+
+    def charge(self, now: int, known: Upstream, work: int) -> None:
+        if known.entry.launched and now - known.entry.launched < self.cold.ramp:
+            known.sent_cold.append((now, int(work * self.HEAVY)))
+
+
+# ---- Server health and ejection
+
+
+class Health:
+    """Judges each answer, ejects an upstream and lets it back after a canary."""
+
+    IN_A_ROW = 3  # the design's starting value
+    GREY = 4  # failures among the last eight that eject as well: half, which chance alone seldom gives
+    LAG = 4  # an answer this many times slower than the fleet's middle one is no success
+    CANARY_EVERY = SECOND // 2  # a crashed process takes seconds to come back; grows by the ejection
+    CANARY_MOST = 4 * SECOND
+
+    def __init__(self, chance: Random) -> None:
+        self.spread = chance.uniform
+
+    def ready(self, known: Upstream) -> bool:
+        return known.canary_due is None
+
+    def judge(self, now: int, known: Upstream, good: bool) -> bool:
+        """Counts one answer of a query or a canary; True if it ejects the upstream."""
+        known.outcomes.append(good)
+        known.failures = 0 if good else known.failures + 1
+        if known.canary_due is not None:
+            return False
+        if known.failures < self.IN_A_ROW and known.outcomes.count(False) < self.GREY:
+            return False
+        known.ejections += 1
+        self.postpone(now, known)
+        return True
+
+    def postpone(self, now: int, known: Upstream) -> None:
+        pause = min(self.CANARY_EVERY * max(1, known.ejections), self.CANARY_MOST)
+        known.canary_due = now + int(pause * self.spread(0.8, 1.2))
+        known.canary_out = False
+
+    def canary(self, now: int, known: Upstream, good: bool) -> None:
+        """What a canary to an ejected upstream brought."""
+        if known.canary_due is None:
+            return
+        if good:
+            known.canary_due = None
+            known.canary_out = False
+            known.failures = 0
+            known.outcomes.clear()
+        else:
+            self.postpone(now, known)
+
+
+# ---- The group state machine
+
+PRIMARY, FAILOVER, BACKUP, RECOVERY = "PRIMARY", "FAILOVER", "BACKUP", "RECOVERY"
+
+
+class Group:
+    """The zones that are home, those that stand in, and which of them get the traffic."""
+
+    FAILURES = 6  # twice what ejects one upstream: no single one can bring the group down
+    WITHIN = 3 * SECOND  # of the same order as the canaries' pauses: older failures are another story
+    STRETCH = 2 * SECOND  # for sidecars with so little traffic that the count takes too long
+    RECOVER = SECOND  # small at first, so that a needless move is soon undone; grows by each entry
+    RECOVER_MOST = 8 * SECOND
+    CANARY_WAIT = SECOND  # a canary that could not be sent or said nothing goes on to the next backup
+    RISE = 3 * SECOND  # the share of the primary after its return goes from none to all
+
+    def __init__(self, place: Place, chance: Random) -> None:
+        self.spread = chance.uniform
+        self.draw = chance.random
+        self.own = place.zone
+
+        def rank(zone: int) -> int:
+            """A stable hash of our number and the zone, so that sidecars do not move as one herd."""
+            return ((place.number + 1) * 0x9E3779B1 + (zone + 1) * 0x85EBCA6B) * 0xC2B2AE35 % 2**32
+
+        others = [zone for zone in range(place.zones) if zone != place.zone]
+        self.order = [place.zone, *sorted(others, key=rank)]
+        self.home = [place.zone]
+        self.state = PRIMARY
+        self.serving = place.zone  # the backup zone while in BACKUP or RECOVERY
+        self.failed: deque[int] = deque(maxlen=self.FAILURES)  # times of the failures in a row
+        self.entries = 0
+        self.timer = 0
+        self.returned = -self.RISE
+        self.tried = 0  # how many backups this failover has asked
+        self.canary_zone: int | None = None
+        self.canary_sent = False
+        self.canary_until = 0
+
+    def lay(self, zones: Sequence[Sequence[Upstream]]) -> None:
+        """The primary: our zone and the next ones while it holds under a zone's part of the fleet."""
+        part = sum(map(len, zones)) // len(zones)
+        held = 0
+        self.home = []
+        for zone in self.order:
+            if self.home and held >= part:
+                break
+            self.home.append(zone)
+            held += len(zones[zone])
+
+    def zones(self, now: int) -> list[int]:
+        """All zones, those that ordinary traffic goes to first."""
+        rest = [zone for zone in self.order if zone not in self.home]
+        if self.state in (PRIMARY, FAILOVER):
+            since = now - self.returned
+            if since < self.RISE and self.serving not in self.home and self.draw() * self.RISE > since:
+                return [self.serving, *self.home]
+            return [*self.home, *rest]
+        return [self.serving, *(zone for zone in rest if zone != self.serving)]
+
+    def carries(self, zone: int) -> bool:
+        """Whether the zone is the one that the machine judges now."""
+        return zone in self.home if self.state in (PRIMARY, FAILOVER) else zone == self.serving
+
+    def heard(self, now: int, zone: int, good: bool) -> None:
+        """An ordinary dispatch answered, or failed to connect, was reset or timed out."""
+        if not self.carries(zone):
+            return
+        if good:
+            self.failed.clear()
+            if self.state == FAILOVER:
+                self.state = PRIMARY
+                self.canary_zone = None
+        elif not self.failed or len(self.failed) < self.FAILURES or now > self.failed[-1]:
+            self.failed.append(now)
+
+    def backups(self) -> list[int]:
+        return [zone for zone in self.order if zone not in self.home]
+
+    def step(self, now: int) -> str | None:
+        """Moves on by what is known; a note if the state changed."""
+        before = self.state
+        failing = bool(self.failed) and (
+            (len(self.failed) == self.FAILURES and now - self.failed[0] <= self.WITHIN)
+            or now - self.failed[0] >= self.STRETCH
+        )
+        backups = self.backups()
+        if self.state == PRIMARY and failing and backups:
+            self.state, self.tried = FAILOVER, 0
+        elif self.state == FAILOVER and not backups:
+            self.state, self.canary_zone = PRIMARY, None
+        elif self.state in (BACKUP, RECOVERY) and self.serving in self.home:
+            self.enter_primary(now - self.RISE)  # the list has changed: our backup is part of home now
+        elif self.state == BACKUP and (now >= self.timer or failing):
+            self.failed.clear()
+            self.state = RECOVERY
+        if self.state in (FAILOVER, RECOVERY) and self.canary_zone is None:
+            self.canary_zone = self.own if self.state == RECOVERY else backups[self.tried % len(backups)]
+            self.canary_sent = False
+            self.canary_until = now + self.CANARY_WAIT
+        elif self.canary_zone is not None and now >= self.canary_until:
+            self.canary(now, False)
+        return f"{before} to {self.state}" if self.state != before else None
+
+    def canary(self, now: int, good: bool) -> None:
+        zone, self.canary_zone = self.canary_zone, None
+        if zone is None:
+            return
+        if self.state == FAILOVER:
+            if good:
+                self.entries += 1
+                self.state, self.serving = BACKUP, zone
+                self.failed.clear()
+                self.restart_timer(now)
+            else:
+                self.tried += 1
+        elif self.state == RECOVERY:
+            if good:
+                self.enter_primary(now)
+            else:
+                self.state = BACKUP
+                self.restart_timer(now)
+
+    def enter_primary(self, now: int) -> None:
+        self.state, self.canary_zone, self.returned = PRIMARY, None, now
+        self.failed.clear()
+
+    def restart_timer(self, now: int) -> None:
+        wait = min(self.RECOVER * self.entries, self.RECOVER_MOST)
+        self.timer = now + int(wait * self.spread(0.8, 1.2))
+
+
+# ---- The pick
+
+
+class Pick:
+    """Of two random ready upstreams, the one with less in flight from us plus reported."""
+
+    AGE = 2 * SECOND  # a report counts in full when new and not at all from this age on
+
+    def __init__(self, chance: Random) -> None:
+        self.sample = chance.sample
+        self.draw = chance.random
+
+    def load(self, now: int, known: Upstream) -> float | None:
+        """What it holds; None if unheard."""
+        if known.report is None:
+            return None if not known.samples else float(len(known.out))
+        at, report = known.report
+        weight = max(0.0, 1 - (now - at) / self.AGE)
+        return len(known.out) + weight * max(report.held, report.waiting, 0.0)
+
+    def choose(self, now: int, ready: Sequence[Upstream]) -> Upstream | None:
+        if len(ready) < 2:
+            return ready[0] if ready else None
+        one, two = self.sample(ready, 2)
+        first, second = self.load(now, one), self.load(now, two)
+        if first is None or second is None:
+            heard = [load for known in ready if (load := self.load(now, known)) is not None]
+            mean = sum(heard) / len(heard) if heard else 0.0
+            first = mean + len(one.out) if first is None else first
+            second = mean + len(two.out) if second is None else second
+        if first == second:
+            return one if self.draw() < 0.5 else two
+        return one if first < second else two
+
+
+# ---- The query ledger: what may still be sent or said
+
+
+class Query:
+    __slots__ = (
+        "agreed", "came", "canaries", "customer", "effect", "ended", "key", "number", "offering", "out",
+        "owed_since", "sent", "stop", "streams", "suspects",
+    )  # fmt: skip
+
+    def __init__(self, number: int, offering: int, effect: int, customer: int, key: int) -> None:
+        self.number = number
+        self.offering = offering
+        self.effect = effect
+        self.customer = customer
+        self.key = key
+        self.came = self.stop = self.agreed = self.owed_since = 0
+        self.sent: list[tuple[Upstream, int]] = []  # each dispatch: where and when
+        self.out: set[int] = set()  # numbers of the dispatches without an outcome
+        self.suspects: set[int] = set()  # those that ended and may have run
+        self.canaries: set[int] = set()
+        self.ended = self.streams = False
+
+
+class Ledger:
+    """Keeps the promises made with each offering."""
+
+    def __init__(self, offerings: Sequence[Offering], dispatches: int, copies: bool) -> None:
+        self.offerings = offerings
+        self.dispatches = dispatches
+        self.copies = copies
+        self.queries: dict[int, Query] = {}
+
+    def may_send(self, now: int, query: Query) -> bool:
+        """Whether any upstream may get it at all."""
+        if query.ended or query.streams or now >= query.stop or len(query.sent) >= self.dispatches:
+            return False
+        if query.out and (not self.copies or query.effect == IRREVERSIBLE):
+            return False
+        if not query.suspects and not query.out:
+            return True
+        if query.effect == LABELLED:
+            first = min(query.sent[n][1] for n in chain(query.suspects, query.out))
+            return now - first < self.offerings[query.offering].window
+        return query.effect == REDOABLE
+
+    def may_go_to(self, query: Query, known: Upstream) -> bool:
+        """Whether this one may: repeats of a labelled query stay where they are dropped."""
+        if query.effect != LABELLED:
+            return True
+        group = self.offerings[query.offering].group
+        for number in chain(query.suspects, query.out):
+            entry = query.sent[number][0].entry
+            if group == SAME_ZONE and entry.zone != known.entry.zone:
+                return False
+            if group == SAME_CELL and entry.cell != known.entry.cell:
+                return False
+        return True
+
+    def may_bounce(self, query: Query) -> bool:
+        if query.effect == REDOABLE or not (query.out or query.suspects):
+            return True
+        group = self.offerings[query.offering].group
+        return query.effect == LABELLED and group not in (SAME_ZONE, SAME_CELL)
+
+    def end(self, query: Query) -> None:
+        query.ended = True
+        if not query.out:
+            self.queries.pop(query.number, None)
+
+
+# ---- Waiting lines
+
+
+class Lines:
+    """Queries to be placed: first dispatches, then further ones."""
+
+    def __init__(self) -> None:
+        self.first: dict[int, Query] = {}
+        self.further: dict[int, Query] = {}
+        self.scan: Iterator[Query] | None = None
+
+    def add(self, query: Query) -> None:
+        (self.further if query.sent else self.first)[query.number] = query
+
+    def drop(self, query: Query) -> None:
+        self.first.pop(query.number, None)
+        self.further.pop(query.number, None)
+
+    def next(self) -> Query | None:
+        """Each waiting query once after each call that may have changed something."""
+        if self.scan is None:
+            self.scan = iter([*self.first.values(), *self.further.values()])
+        return next(self.scan, None)
+
+
+# ---- The balancer
+
+
+class Balancer:
+    PATIENCE = 0.25  # of the agreed time may pass with nothing out; the rest is needed for the answer
+    SURPLUS = 0.6  # of the shortest agreed time: home expected over it lets a query cross
+    LATE = 0.85  # of the agreed time: expected over it everywhere, a query is turned away
+    YIELD = 0.7  # of a better earner's agreed time: lesser offerings leave it that much room
+    HURRY = 3  # a dispatch is out for this many times the expected answer before another may follow
+    FURTHER = 0.2  # further dispatches after doubt, at most this share of the last ones: no storms
+    LOOK = SECOND  # each upstream is probed about this often where only probes bring reports
+    FOLLOW_FIRST, FOLLOW_MOST = SECOND // 2, 8 * SECOND  # pauses after failed calls to the list
+    TICK = 50 * MILLISECOND  # how soon waiting queries, timers and canaries are looked at again
+
+    def __init__(
+        self,
+        now: int,
+        seed: int,
+        place: Place,
+        offerings: Sequence[Offering],
+        customers: Sequence[Customer],
+        by_work: bool,
+        cold: ColdRule,
+        permits: Permits,
+    ) -> None:
+        chance = Random(seed)
+        self.spread = chance.uniform
+        self.known = KnownUpstreams(cold, place.sidecars, place.zones)
+        self.health = Health(chance)
+        self.group = Group(place, chance)
+        self.pick = Pick(chance)
+        self.ledger = Ledger(offerings, permits.dispatches, permits.copies)
+        self.lines = Lines()
+        self.offerings = offerings
+        self.permits = permits
+        self.said: deque[Decision] = deque()
+        self.recent: deque[bool] = deque(maxlen=50)  # the last dispatches: whether it was a further one
+        self.follow_at = now if permits.follow else None
+        self.follow_failures = 0
+        self.wake_at: int | None = None
+        self.looked = False
+        self.shortest = min((o.agreed for o in offerings), default=SECOND)
+        better = [[p for p in offerings if p.earnings > o.earnings] for o in offerings]
+        self.limits = [
+            min([int(o.agreed * self.LATE), *(int(p.agreed * self.YIELD) for p in above)])
+            for o, above in zip(offerings, better, strict=True)
+        ]
+
+    # -- calls in
+
+    def learn(self, now: int, entries: Sequence[Entry], whole: bool) -> None:
+        self.known.learn(now, entries, whole)
+        self.group.lay(self.known.zones)
+        self.follow_failures = 0
+        self.changed()
+
+    def list_failed(self, now: int) -> None:
+        pause = min(self.FOLLOW_FIRST << min(self.follow_failures, 5), self.FOLLOW_MOST)
+        self.follow_failures += 1
+        self.follow_at = now + int(pause * self.spread(0.5, 1.5))
+        self.changed()
+
+    def take(self, now: int, number: int, offering: int, customer: int, remaining: int, key: int) -> None:
+        query = Query(number, offering, self.offerings[offering].effect, customer, key)
+        query.came = query.owed_since = now
+        query.stop = now + remaining
+        query.agreed = now + min(remaining, self.offerings[offering].agreed)
+        self.ledger.queries[number] = query
+        self.lines.add(query)
+        self.changed()
+
+    def outcome(
+        self, now: int, number: int, upstream: int, shot: int, duration: int, outcome: int, ended: bool,
+        report: Report | None,
+    ) -> None:  # fmt: skip
+        known = self.known.by_id.get(upstream)
+        query = self.ledger.queries.get(number)
+        canary = query is not None and shot in query.canaries
+        if known is not None:
+            sent = known.out.pop((number, shot), None)
+            if report is not None:
+                known.report = (now, report)
+            if sent is not None and outcome != MOOT:
+                self.judge(now, known, outcome, duration, sent[1], canary)
+        if query is not None:
+            query.out.discard(shot)
+            if outcome not in NEVER_RAN:
+                query.suspects.add(shot)
+            if ended or query.ended:
+                self.close(query)
+            elif not query.out and not query.streams:
+                query.owed_since = now
+                self.lines.add(query)
+        self.changed()
+
+    def started(self, now: int, number: int) -> None:
+        if (query := self.ledger.queries.get(number)) is not None:
+            query.streams = True
+
+    def left(self, now: int, number: int) -> None:
+        if (query := self.ledger.queries.get(number)) is not None and not query.ended:
+            self.close(query)
+        self.changed()
+
+    def probed(self, now: int, upstream: int, ok: bool, duration: int, report: Report | None) -> None:
+        known = self.known.by_id.get(upstream)
+        if known is None:
+            return
+        known.probe_out = False
+        if report is not None:
+            known.report = (now, report)
+        good = ok and not self.lags(known, duration)
+        if known.canary_out:
+            self.health.canary(now, known, good)
+        if self.group.canary_sent and known.entry.zone == self.group.canary_zone:
+            self.group.canary(now, good)
+        self.changed()
+
+    def woken(self, now: int) -> None:
+        self.wake_at = None
+        self.changed()
+
+    def changed(self) -> None:
+        self.lines.scan = None
+        self.looked = False
+
+    # -- bookkeeping
+
+    def judge(self, now: int, known: Upstream, outcome: int, duration: int, then: int, canary: bool) -> None:
+        if outcome in (CANCELLED, FULL):
+            return
+        zone = known.entry.zone
+        done = outcome == DONE
+        good = done and not self.lags(known, duration)
+        if done:
+            known.samples.append((now, duration, then))
+        if canary:
+            self.health.canary(now, known, good)
+            if self.group.canary_sent and zone == self.group.canary_zone:
+                self.group.canary(now, good)
+            return
+        if self.health.judge(now, known, good):
+            self.said.append(("note", f"ejected {known.entry.upstream}"))
+        if done or outcome in (UNREACHABLE, RESET, TIMED_OUT):
+            self.group.heard(now, zone, done)
+
+    def lags(self, known: Upstream, duration: int) -> bool:
+        """Guards against upstreams many times slower than the rest, which never quite fail."""
+        typical = self.known.typical()
+        if duration < max(Health.LAG * typical, self.shortest // 2):
+            return False
+        others = [
+            d for zone in self.known.zones for other in zone if other is not known
+            for _, d, _ in list(other.samples)[-2:]
+        ]  # fmt: skip
+        return bool(others) and duration > Health.LAG * median(others)
+
+    def close(self, query: Query) -> None:
+        """The query has its final answer; what is still out is worth nothing to anyone."""
+        if not query.ended and self.permits.cancel:
+            self.said.extend(("cancel", query.number, shot) for shot in sorted(query.out))
+        self.lines.drop(query)
+        self.ledger.end(query)
+
+    # -- decisions out
+
+    def decide(self, now: int) -> Decision | None:
+        if self.said:
+            return self.said.popleft()
+        while (query := self.lines.next()) is not None:
+            if not query.ended and (decision := self.place(now, query)) is not None:
+                return decision
+        if not self.looked:
+            self.looked = True
+            self.look(now)
+            if self.said:
+                return self.said.popleft()
+        return self.wake(now)
+
+    def place(self, now: int, query: Query) -> Decision | None:
+        """A dispatch, a final answer, or None: the query waits."""
+        if not self.ledger.may_send(now, query):
+            return None if query.out else self.answer(now, query, 0)
+        if query.suspects and self.recent.count(True) >= self.FURTHER * 50:
+            return self.answer(now, query, 0)
+        typical = self.known.typical()
+        canary = self.canary_target(now, query, typical)
+        if canary is not None:
+            return self.dispatch(now, query, canary, typical, True)
+        chosen, expected = self.choose(now, query, typical)
+        left = query.agreed - now
+        if chosen is None:
+            waited = now - query.owed_since > self.PATIENCE * self.offerings[query.offering].agreed
+            return self.answer(now, query, 0) if waited else None
+        limit = self.limits[query.offering]
+        if not query.suspects and (expected > limit or expected > left) and self.late_is_lost(now, query):
+            return self.answer(now, query, expected - limit)
+        return self.dispatch(now, query, chosen, typical, False)
+
+    def late_is_lost(self, now: int, query: Query) -> bool:
+        return self.ledger.may_bounce(query)
+
+    def choose(self, now: int, query: Query, typical: int) -> tuple[Upstream | None, int]:
+        """The pick in the first zone that can answer in time; else the soonest of the picks."""
+        best: Upstream | None = None
+        soonest = 0
+        enough = int(self.shortest * self.SURPLUS)
+        for zone in self.group.zones(now):
+            listed = [
+                known for known in self.known.zones[zone]
+                if self.ledger.may_go_to(query, known)
+                and self.known.allows(now, known, known.service() or typical)
+            ]  # fmt: skip
+            tried = {where for where, _ in query.sent}
+            ready = [known for known in listed if known not in tried and self.health.ready(known)]
+            if not ready:
+                ready = [known for known in listed if self.health.ready(known)]
+            chosen = self.pick.choose(now, ready)
+            if chosen is None:
+                continue
+            expected = chosen.expected(now, typical)
+            if expected <= enough:
+                return chosen, expected
+            if best is None or expected < soonest // 2:
+                best, soonest = chosen, expected
+        return best, soonest
+
+    def canary_target(self, now: int, query: Query, typical: int) -> Upstream | None:
+        """Where probes are not allowed, a redoable query's first dispatch serves as the canary."""
+        if self.permits.probes or query.effect != REDOABLE or query.sent:
+            return None
+        group = self.group
+        if group.canary_zone is not None and not group.canary_sent:
+            listed = [k for k in self.known.zones[group.canary_zone] if self.known.allows(now, k, typical)]
+            if (chosen := self.pick.choose(now, listed)) is not None:
+                group.canary_sent = True
+                return chosen
+        for zone in self.known.zones:
+            for known in zone:
+                due = known.canary_due
+                if due is None or now < due or known.canary_out:
+                    continue
+                if self.known.allows(now, known, known.service() or typical):
+                    known.canary_out = True
+                    return known
+        return None
+
+    def dispatch(self, now: int, query: Query, known: Upstream, typical: int, canary: bool) -> Decision:
+        shot = len(query.sent)
+        if canary:
+            query.canaries.add(shot)
+        self.recent.append(bool(query.suspects))
+        self.known.charge(now, known, known.service() or typical)
+        known.out[query.number, shot] = (now, len(known.out))
+        query.sent.append((known, now))
+        query.out.add(shot)
+        self.lines.drop(query)
+        self.lines.scan = None
+        return ("dispatch", query.number, known.entry.upstream, self.limit(now, query, known, typical))
+
+    def limit(self, now: int, query: Query, known: Upstream, typical: int) -> int:
+        """How long to wait before another upstream is worth a try: never for what must not run twice."""
+        stop = query.stop - now
+        if query.effect == IRREVERSIBLE or len(query.sent) >= self.ledger.dispatches:
+            return stop
+        left = query.agreed - now
+        again = left - int(typical * 1.5)
+        patient = self.HURRY * known.expected(now, typical)
+        if patient >= again:
+            return stop
+        return max(patient, left // 2)
+
+    def answer(self, now: int, query: Query, after: int) -> Decision:
+        """The final answer to a query that is given up on."""
+        number = query.number
+        if self.ledger.may_bounce(query):
+            after = min(max(after, 2 * self.TICK), self.permits.come_back)
+            decision: Decision = ("bounce", number, int(after * self.spread(0.75, 1.0)))
+        else:
+            decision = ("abort", number)
+        self.close(query)
+        return decision
+
+    def look(self, now: int) -> None:
+        """The list, the group's state, canaries and probes."""
+        if self.follow_at is not None and now >= self.follow_at:
+            self.follow_at = None
+            self.said.append(("follow",))
+        if (note := self.group.step(now)) is not None:
+            self.said.append(("note", note))
+        if not self.permits.probes:
+            return
+        group = self.group
+        if group.canary_zone is not None and not group.canary_sent:
+            listed = [known for known in self.known.zones[group.canary_zone] if not known.probe_out]
+            if (chosen := self.pick.choose(now, listed)) is not None:
+                group.canary_sent = True
+                self.probe(now, chosen)
+        for zone in self.known.zones:
+            for known in zone:
+                if known.probe_out:
+                    continue
+                if known.canary_due is not None:
+                    if now >= known.canary_due:
+                        known.canary_out = True
+                        self.probe(now, known)
+                elif now - known.probed_at >= self.LOOK:
+                    self.probe(now, known)
+
+    def probe(self, now: int, known: Upstream) -> None:
+        known.probe_out = True
+        known.probed_at = now + int(self.LOOK * self.spread(-0.1, 0.1))
+        self.said.append(("probe", known.entry.upstream))
+
+    def wake(self, now: int) -> Decision | None:
+        if self.wake_at is not None and self.wake_at > now:
+            return None
+        self.wake_at = now + self.TICK
+        return ("wake", self.TICK)
--- /dev/null
+++ b/maddercart/wirehost/__init__.py
@@ -0,0 +1,1 @@
+"""The decisions on the simulator's wire."""
--- /dev/null
+++ b/maddercart/wirehost/__main__.py
@@ -0,0 +1,20 @@
+"""Hosts many instances of the decision module on the simulator's wire (standard input and output)."""
+
+import sys
+from typing import BinaryIO
+
+from maddercart.wirehost.host import FrameError, Host
+from maddercart.wirehost.settings import SettingsError
+
+
+def main(source: BinaryIO, sink: BinaryIO) -> int:
+    try:
+        Host().serve(source, sink)
+    except (FrameError, SettingsError) as error:
+        print(f"maddercart.wirehost: {error}", file=sys.stderr)
+        return 2
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.stdin.buffer, sys.stdout.buffer))
