Second copies, relative time-outs, fading estimates and three draws before a crossing

Cause: estimates stayed high after the load had gone, early time-outs counted as failures and ejected healthy servers, and one unlucky pair was taken for a full zone; over half of all queries were bounced.

--- a/maddercart/logic.py
+++ b/maddercart/logic.py
@@ -17,32 +17,10 @@
 from statistics import median
 
 from maddercart.interface import (
-    CANCELLED,
-    DONE,
-    FULL,
-    GONE,
-    IRREVERSIBLE,
-    LABELLED,
-    MILLISECOND,
-    MOOT,
-    NEVER_RAN,
-    READY,
-    REDOABLE,
-    RESET,
-    SAME_CELL,
-    SAME_ZONE,
-    SECOND,
-    TIMED_OUT,
-    UNREACHABLE,
-    ColdRule,
-    Customer,
-    Decision,
-    Entry,
-    Offering,
-    Permits,
-    Place,
-    Report,
-)
+    CANCELLED, DONE, FULL, GONE, IRREVERSIBLE, LABELLED, MILLISECOND, MOOT, NEVER_RAN, READY, REDOABLE,
+    RESET, SAME_CELL, SAME_ZONE, SECOND, TIMED_OUT, UNREACHABLE, ColdRule, Customer, Decision, Entry,
+    Offering, Permits, Place, Report,
+)  # fmt: skip
 
 # ---- Known upstreams: the list, drains, the cold budget
 
@@ -69,43 +47,38 @@
         self.probed_at = 0
 
     def service(self) -> int:
-        """What a query takes here without waiting; 0 if unheard."""
-        if self.report is not None and self.report[1].service > 0:
-            return self.report[1].service
-        if not self.samples:
-            return 0
-        return sorted(duration for _, duration, _ in self.samples)[len(self.samples) // 4]
+        """What a query takes here with little waiting; 0 if unheard."""
+        heard = sorted(duration for _, duration, _ in self.samples)
+        return heard[len(heard) // 4] if heard else 0
 
     def expected(self, now: int, typical: int) -> int:
         """How long one more query would take here, from the last few answers and those still owed."""
-        service = self.service() or typical
-        size = max(1.0, self.entry.size)
         out = len(self.out)
-        recent = [(d, then) for ended, d, then in self.samples if now - ended < self.FRESH]
-        if recent:
-            base = median([d for d, _ in recent])
-            more = out - median([then for _, then in recent])
+        if self.samples:
+            service = self.service()
+            base = median([duration for _, duration, _ in self.samples])
+            then = median([then for _, _, then in self.samples])
+            fade = max(0.0, 1 - (now - self.samples[-1][0]) / self.FRESH)
+            estimate = service + fade * (base - service)
+            estimate += (out - then) * base / max(self.entry.size, then + 1)
+            estimate = max(estimate, self.samples[0][1] if len(self.samples) == 1 else service / 2)
         else:
-            base, more = service, out + 1 - size
-        estimate = max(service, int(base + more * service / size))
-        if self.report is not None and now - self.report[0] < self.FRESH:
-            queued = max(self.report[1].waiting, self.report[1].held - size, 0.0)
-            estimate = max(estimate, int(service * (1 + queued / size)))
-        if self.out:
-            estimate = max(estimate, now - next(iter(self.out.values()))[0])
-        return estimate
+            estimate = typical * max(1.0, (out + 1) / max(1.0, self.entry.size))
+        return int(max(estimate, now - next(iter(self.out.values()))[0] if self.out else 0))
 
 
 class KnownUpstreams:
     """The list as it was told, by zone, and what each upstream may still be sent."""
 
     HEAVY = 1.5  # a query may be heavier than the middle one: a margin of half keeps a sum of few inside
+    TYPICAL_HOLDS = 50 * MILLISECOND  # worked out once in a while: it moves slowly and costs a look at all
 
     def __init__(self, cold: ColdRule, sidecars: int, zones: int) -> None:
         self.cold = cold
         self.sidecars = sidecars
         self.by_id: dict[int, Upstream] = {}
         self.zones: list[list[Upstream]] = [[] for _ in range(zones)]  # those listed as ready
+        self.typical_was = self.typical_until = 0
 
     def learn(self, now: int, entries: Sequence[Entry], whole: bool) -> None:
         if whole:
@@ -139,10 +112,13 @@
         if known.told_off is None:
             known.told_off = now
 
-    def typical(self) -> int:
-        """The middle service time of all heard upstreams; 0 while none is heard."""
-        heard = [s for zone in self.zones for known in zone if (s := known.service())]
-        return int(median(heard)) if heard else 0
+    def typical(self, now: int) -> int:
+        """What the middle upstream lately took for an answer; 0 while none is heard."""
+        if now >= self.typical_until:
+            self.typical_until = now + self.TYPICAL_HOLDS
+            heard = [k.samples[-1][1] for zone in self.zones for k in zone if k.samples]
+            self.typical_was = int(median(heard)) if heard else 0
+        return self.typical_was
 
     def allows(self, now: int, known: Upstream, work: int) -> bool:
         """Whether our own part of a cold upstream's budget bears one more query.
@@ -484,6 +460,7 @@
     SURPLUS = 0.6  # of the shortest agreed time: home expected over it lets a query cross
     LATE = 0.85  # of the agreed time: expected over it everywhere, a query is turned away
     YIELD = 0.7  # of a better earner's agreed time: lesser offerings leave it that much room
+    DRAWS = 3  # pairs drawn in a zone before the next is looked at: one odd pair is no full zone
     HURRY = 3  # a dispatch is out for this many times the expected answer before another may follow
     FURTHER = 0.2  # further dispatches after doubt, at most this share of the last ones: no storms
     LOOK = SECOND  # each upstream is probed about this often where only probes bring reports
@@ -512,6 +489,7 @@
         self.offerings = offerings
         self.permits = permits
         self.said: deque[Decision] = deque()
+        self.copies_due: deque[tuple[int, Query]] = deque()
         self.recent: deque[bool] = deque(maxlen=50)  # the last dispatches: whether it was a further one
         self.follow_at = now if permits.follow else None
         self.follow_failures = 0
@@ -587,7 +565,7 @@
         known.probe_out = False
         if report is not None:
             known.report = (now, report)
-        good = ok and not self.lags(known, duration)
+        good = ok and not self.lags(now, duration)
         if known.canary_out:
             self.health.canary(now, known, good)
         if self.group.canary_sent and known.entry.zone == self.group.canary_zone:
@@ -609,8 +587,9 @@
             return
         zone = known.entry.zone
         done = outcome == DONE
-        good = done and not self.lags(known, duration)
-        if done:
+        slow = outcome in (DONE, TIMED_OUT)
+        good = slow and not self.lags(now, duration)  # a time-out as long as others' answers is no failure
+        if slow:
             known.samples.append((now, duration, then))
         if canary:
             self.health.canary(now, known, good)
@@ -622,16 +601,9 @@
         if done or outcome in (UNREACHABLE, RESET, TIMED_OUT):
             self.group.heard(now, zone, done)
 
-    def lags(self, known: Upstream, duration: int) -> bool:
+    def lags(self, now: int, duration: int) -> bool:
         """Guards against upstreams many times slower than the rest, which never quite fail."""
-        typical = self.known.typical()
-        if duration < max(Health.LAG * typical, self.shortest // 2):
-            return False
-        others = [
-            d for zone in self.known.zones for other in zone if other is not known
-            for _, d, _ in list(other.samples)[-2:]
-        ]  # fmt: skip
-        return bool(others) and duration > Health.LAG * median(others)
+        return duration >= max(self.health.LAG * self.known.typical(now), self.shortest // 2)
 
     def close(self, query: Query) -> None:
         """The query has its final answer; what is still out is worth nothing to anyone."""
@@ -643,30 +615,31 @@
     # -- decisions out
 
     def decide(self, now: int) -> Decision | None:
+        if not self.looked:
+            self.looked = True
+            self.look(now)
         if self.said:
             return self.said.popleft()
         while (query := self.lines.next()) is not None:
             if not query.ended and (decision := self.place(now, query)) is not None:
                 return decision
-        if not self.looked:
-            self.looked = True
-            self.look(now)
-            if self.said:
-                return self.said.popleft()
         return self.wake(now)
 
     def place(self, now: int, query: Query) -> Decision | None:
         """A dispatch, a final answer, or None: the query waits."""
         if not self.ledger.may_send(now, query):
             return None if query.out else self.answer(now, query, 0)
-        if query.suspects and self.recent.count(True) >= self.FURTHER * 50:
-            return self.answer(now, query, 0)
-        typical = self.known.typical()
+        if (query.suspects or query.out) and self.recent.count(True) >= self.FURTHER * 50:
+            return None if query.out else self.answer(now, query, 0)
+        typical = self.known.typical(now)
         canary = self.canary_target(now, query, typical)
         if canary is not None:
             return self.dispatch(now, query, canary, typical, True)
         chosen, expected = self.choose(now, query, typical)
         left = query.agreed - now
+        if query.out and (chosen is None or expected > left):
+            self.lines.drop(query)
+            return None
         if chosen is None:
             waited = now - query.owed_since > self.PATIENCE * self.offerings[query.offering].agreed
             return self.answer(now, query, 0) if waited else None
@@ -683,24 +656,23 @@
         best: Upstream | None = None
         soonest = 0
         enough = int(self.shortest * self.SURPLUS)
+        tried = {where for where, _ in query.sent}
         for zone in self.group.zones(now):
-            listed = [
+            ready = [
                 known for known in self.known.zones[zone]
-                if self.ledger.may_go_to(query, known)
+                if known.canary_due is None and known not in tried and self.ledger.may_go_to(query, known)
                 and self.known.allows(now, known, known.service() or typical)
             ]  # fmt: skip
-            tried = {where for where, _ in query.sent}
-            ready = [known for known in listed if known not in tried and self.health.ready(known)]
-            if not ready:
-                ready = [known for known in listed if self.health.ready(known)]
-            chosen = self.pick.choose(now, ready)
-            if chosen is None:
-                continue
-            expected = chosen.expected(now, typical)
-            if expected <= enough:
-                return chosen, expected
-            if best is None or expected < soonest // 2:
-                best, soonest = chosen, expected
+            for _ in range(self.DRAWS):
+                chosen = self.pick.choose(now, ready)
+                if chosen is None:
+                    break
+                expected = chosen.expected(now, typical)
+                if expected <= enough:
+                    return chosen, expected
+                if best is None or expected < soonest - self.shortest * (best.entry.zone != zone) // 4:
+                    best, soonest = chosen, expected
+                ready.remove(chosen)
         return best, soonest
 
     def canary_target(self, now: int, query: Query, typical: int) -> Upstream | None:
@@ -727,26 +699,26 @@
         shot = len(query.sent)
         if canary:
             query.canaries.add(shot)
-        self.recent.append(bool(query.suspects))
+        self.recent.append(bool(query.suspects or query.out))
         self.known.charge(now, known, known.service() or typical)
         known.out[query.number, shot] = (now, len(known.out))
         query.sent.append((known, now))
         query.out.add(shot)
         self.lines.drop(query)
         self.lines.scan = None
-        return ("dispatch", query.number, known.entry.upstream, self.limit(now, query, known, typical))
-
-    def limit(self, now: int, query: Query, known: Upstream, typical: int) -> int:
-        """How long to wait before another upstream is worth a try: never for what must not run twice."""
-        stop = query.stop - now
+        patience = self.patience(now, query, known, typical)
+        if patience and self.permits.copies:
+            self.copies_due.append((now + patience, query))
+            patience = 0
+        return ("dispatch", query.number, known.entry.upstream, patience or query.stop - now)
+
+    def patience(self, now: int, query: Query, known: Upstream, typical: int) -> int:
+        """How long to wait before another upstream is worth a try; 0: as long as the client does."""
         if query.effect == IRREVERSIBLE or len(query.sent) >= self.ledger.dispatches:
-            return stop
+            return 0
         left = query.agreed - now
-        again = left - int(typical * 1.5)
-        patient = self.HURRY * known.expected(now, typical)
-        if patient >= again:
-            return stop
-        return max(patient, left // 2)
+        patient = max(self.HURRY * known.expected(now, typical), left // 2)
+        return patient if patient <= left - typical else 0
 
     def answer(self, now: int, query: Query, after: int) -> Decision:
         """The final answer to a query that is given up on."""
@@ -764,6 +736,12 @@
         if self.follow_at is not None and now >= self.follow_at:
             self.follow_at = None
             self.said.append(("follow",))
+        for _ in range(len(self.copies_due)):
+            due, query = self.copies_due.popleft()
+            if now < due:
+                self.copies_due.append((due, query))
+            elif query.out and not query.ended:
+                self.lines.add(query)
         if (note := self.group.step(now)) is not None:
             self.said.append(("note", note))
         if not self.permits.probes:
