--- a/maddercart/logic.py
+++ b/maddercart/logic.py
@@ -33,14 +33,16 @@
 
     def __init__(self, entry: Entry) -> None:
         self.entry = entry
+        self.size = max(1.0, entry.size)
         self.told_off: int | None = None  # when we were told that it drains or is gone
         self.out: dict[tuple[int, int], tuple[int, int]] = {}  # dispatch: when sent, how many were out
         self.samples: deque[tuple[int, int, int]] = deque(maxlen=self.SAMPLES)  # end, duration, out then
         self.sent_cold: deque[tuple[int, int]] = deque()  # when, how much work
-        self.report: tuple[int, Report] | None = None
+        self.report: tuple[int, Report, int] | None = None  # when heard, and how many were out then
         self.outcomes: deque[bool] = deque(maxlen=self.SAMPLES)
         self.failures = 0  # in a row
         self.ejections = 0
+        self.probation = 0  # good answers still to come before a failure is borne again
         self.canary_due: int | None = None  # set while ejected
         self.canary_out = False
         self.probe_out = False
@@ -51,7 +53,7 @@
         heard = sorted(duration for _, duration, _ in self.samples)
         return heard[len(heard) // 4] if heard else 0
 
-    def expected(self, now: int, typical: int) -> int:
+    def expected(self, now: int, typical: int, sidecars: int) -> int:
         """How long one more query would take here, from the last few answers and those still owed."""
         out = len(self.out)
         if self.samples:
@@ -60,10 +62,15 @@
             then = median([then for _, _, then in self.samples])
             fade = max(0.0, 1 - (now - self.samples[-1][0]) / self.FRESH)
             estimate = service + fade * (base - service)
-            estimate += (out - then) * base / max(self.entry.size, then + 1)
+            estimate += (out - then) * base / max(self.size, then + 1)
             estimate = max(estimate, self.samples[0][1] if len(self.samples) == 1 else service / 2)
         else:
-            estimate = typical * max(1.0, (out + 1) / max(1.0, self.entry.size))
+            service = typical
+            estimate = typical * max(1.0, (out * sidecars + 1) / self.size)
+        if self.report is not None:
+            at, report, out_then = self.report
+            others = max(report.waiting, report.held - max(out_then, self.size), 0.0)
+            estimate = max(estimate, service * (1 + others * max(0.0, 1 - (now - at) / SECOND) / self.size))
         return int(max(estimate, now - next(iter(self.out.values()))[0] if self.out else 0))
 
 
@@ -73,12 +80,13 @@
     HEAVY = 1.5  # a query may be heavier than the middle one: a margin of half keeps a sum of few inside
     TYPICAL_HOLDS = 50 * MILLISECOND  # worked out once in a while: it moves slowly and costs a look at all
 
-    def __init__(self, cold: ColdRule, sidecars: int, zones: int) -> None:
+    def __init__(self, cold: ColdRule, sidecars: int, zones: int, unheard: int) -> None:
         self.cold = cold
         self.sidecars = sidecars
         self.by_id: dict[int, Upstream] = {}
         self.zones: list[list[Upstream]] = [[] for _ in range(zones)]  # those listed as ready
-        self.typical_was = self.typical_until = 0
+        self.typical_was = self.unheard = unheard
+        self.typical_until = 0
 
     def learn(self, now: int, entries: Sequence[Entry], whole: bool) -> None:
         if whole:
@@ -95,7 +103,7 @@
                 out = known.out
                 known = self.by_id[entry.upstream] = Upstream(entry)
                 known.out = out
-            known.entry = entry
+            known.entry, known.size = entry, max(1.0, entry.size)
             if entry.condition == READY:
                 known.told_off = None
             else:
@@ -113,11 +121,11 @@
             known.told_off = now
 
     def typical(self, now: int) -> int:
-        """What the middle upstream lately took for an answer; 0 while none is heard."""
+        """What the middle upstream lately took for an answer; a guess while none is heard."""
         if now >= self.typical_until:
             self.typical_until = now + self.TYPICAL_HOLDS
             heard = [k.samples[-1][1] for zone in self.zones for k in zone if k.samples]
-            self.typical_was = int(median(heard)) if heard else 0
+            self.typical_was = int(median(heard)) if heard else self.unheard
         return self.typical_was
 
     def allows(self, now: int, known: Upstream, work: int) -> bool:
@@ -150,6 +158,7 @@
 
     IN_A_ROW = 3  # the design's starting value
     GREY = 4  # failures among the last eight that eject as well: half, which chance alone seldom gives
+    PROBATION = 8  # after a canary: guards against one that fails on part, whose canary had luck
     LAG = 4  # an answer this many times slower than the fleet's middle one is no success
     CANARY_EVERY = SECOND // 2  # a crashed process takes seconds to come back; grows by the ejection
     CANARY_MOST = 4 * SECOND
@@ -166,7 +175,9 @@
         known.failures = 0 if good else known.failures + 1
         if known.canary_due is not None:
             return False
-        if known.failures < self.IN_A_ROW and known.outcomes.count(False) < self.GREY:
+        relapsed = known.probation > 0 and not good
+        known.probation = max(0, known.probation - good)
+        if not relapsed and known.failures < self.IN_A_ROW and known.outcomes.count(False) < self.GREY:
             return False
         known.ejections += 1
         self.postpone(now, known)
@@ -186,6 +197,7 @@
             known.canary_out = False
             known.failures = 0
             known.outcomes.clear()
+            known.probation = self.PROBATION
         else:
             self.postpone(now, known)
 
@@ -338,7 +350,7 @@
         """What it holds; None if unheard."""
         if known.report is None:
             return None if not known.samples else float(len(known.out))
-        at, report = known.report
+        at, report, _ = known.report
         weight = max(0.0, 1 - (now - at) / self.AGE)
         return len(known.out) + weight * max(report.held, report.waiting, 0.0)
 
@@ -460,6 +472,7 @@
     SURPLUS = 0.6  # of the shortest agreed time: home expected over it lets a query cross
     LATE = 0.85  # of the agreed time: expected over it everywhere, a query is turned away
     YIELD = 0.7  # of a better earner's agreed time: lesser offerings leave it that much room
+    UNHEARD = 0.25  # of the shortest agreed time: what an answer is taken to need before any was seen
     DRAWS = 3  # pairs drawn in a zone before the next is looked at: one odd pair is no full zone
     HURRY = 3  # a dispatch is out for this many times the expected answer before another may follow
     FURTHER = 0.2  # further dispatches after doubt, at most this share of the last ones: no storms
@@ -480,7 +493,8 @@
     ) -> None:
         chance = Random(seed)
         self.spread = chance.uniform
-        self.known = KnownUpstreams(cold, place.sidecars, place.zones)
+        self.shortest = min((o.agreed for o in offerings), default=SECOND)
+        self.known = KnownUpstreams(cold, place.sidecars, place.zones, int(self.shortest * self.UNHEARD))
         self.health = Health(chance)
         self.group = Group(place, chance)
         self.pick = Pick(chance)
@@ -495,7 +509,6 @@
         self.follow_failures = 0
         self.wake_at: int | None = None
         self.looked = False
-        self.shortest = min((o.agreed for o in offerings), default=SECOND)
         better = [[p for p in offerings if p.earnings > o.earnings] for o in offerings]
         self.limits = [
             min([int(o.agreed * self.LATE), *(int(p.agreed * self.YIELD) for p in above)])
@@ -535,7 +548,7 @@
         if known is not None:
             sent = known.out.pop((number, shot), None)
             if report is not None:
-                known.report = (now, report)
+                known.report = (now, report, len(known.out))
             if sent is not None and outcome != MOOT:
                 self.judge(now, known, outcome, duration, sent[1], canary)
         if query is not None:
@@ -564,7 +577,7 @@
             return
         known.probe_out = False
         if report is not None:
-            known.report = (now, report)
+            known.report = (now, report, len(known.out))
         good = ok and not self.lags(now, duration)
         if known.canary_out:
             self.health.canary(now, known, good)
@@ -667,7 +680,7 @@
                 chosen = self.pick.choose(now, ready)
                 if chosen is None:
                     break
-                expected = chosen.expected(now, typical)
+                expected = chosen.expected(now, typical, self.known.sidecars)
                 if expected <= enough:
                     return chosen, expected
                 if best is None or expected < soonest - self.shortest * (best.entry.zone != zone) // 4:
@@ -717,7 +730,7 @@
         if query.effect == IRREVERSIBLE or len(query.sent) >= self.ledger.dispatches:
             return 0
         left = query.agreed - now
-        patient = max(self.HURRY * known.expected(now, typical), left // 2)
+        patient = max(self.HURRY * known.expected(now, typical, self.known.sidecars), left // 2)
         return patient if patient <= left - typical else 0
 
     def answer(self, now: int, query: Query, after: int) -> Decision:
