Estimate without reports; only real failures relapse on probation

Cause: reports are a second old and counted waiting twice; answers that lag put healthy servers back out.

--- a/maddercart/logic.py
+++ b/maddercart/logic.py
@@ -67,10 +67,6 @@
         else:
             service = typical
             estimate = typical * max(1.0, (out * sidecars + 1) / self.size)
-        if self.report is not None:
-            at, report, out_then = self.report
-            others = max(report.waiting, report.held - max(out_then, self.size), 0.0)
-            estimate = max(estimate, service * (1 + others * max(0.0, 1 - (now - at) / SECOND) / self.size))
         return int(max(estimate, now - next(iter(self.out.values()))[0] if self.out else 0))
 
 
@@ -169,13 +165,13 @@
     def ready(self, known: Upstream) -> bool:
         return known.canary_due is None
 
-    def judge(self, now: int, known: Upstream, good: bool) -> bool:
+    def judge(self, now: int, known: Upstream, good: bool, wrong: bool) -> bool:
         """Counts one answer of a query or a canary; True if it ejects the upstream."""
         known.outcomes.append(good)
         known.failures = 0 if good else known.failures + 1
         if known.canary_due is not None:
             return False
-        relapsed = known.probation > 0 and not good
+        relapsed = known.probation > 0 and wrong
         known.probation = max(0, known.probation - good)
         if not relapsed and known.failures < self.IN_A_ROW and known.outcomes.count(False) < self.GREY:
             return False
@@ -609,7 +605,7 @@
             if self.group.canary_sent and zone == self.group.canary_zone:
                 self.group.canary(now, good)
             return
-        if self.health.judge(now, known, good):
+        if self.health.judge(now, known, good, not slow):
             self.said.append(("note", f"ejected {known.entry.upstream}"))
         if done or outcome in (UNREACHABLE, RESET, TIMED_OUT):
             self.group.heard(now, zone, done)
