--- a/maddercart/logic.py
+++ b/maddercart/logic.py
@@ -62,7 +62,8 @@
             then = median([then for _, _, then in self.samples])
             fade = max(0.0, 1 - (now - self.samples[-1][0]) / self.FRESH)
             estimate = service + fade * (base - service)
-            estimate += (out - then) * base / max(self.size, then + 1)
+            # The others' loads move as ours does, each on its own: deviations add up by their root.
+            estimate += (out - then) * base / max(self.size, then + 1) * sidecars**0.5
             estimate = max(estimate, self.samples[0][1] if len(self.samples) == 1 else service / 2)
         else:
             service = typical
@@ -466,8 +467,8 @@
 class Balancer:
     PATIENCE = 0.25  # of the agreed time may pass with nothing out; the rest is needed for the answer
     SURPLUS = 0.6  # of the shortest agreed time: home expected over it lets a query cross
-    LATE = 0.85  # of the agreed time: expected over it everywhere, a query is turned away
-    YIELD = 0.7  # of a better earner's agreed time: lesser offerings leave it that much room
+    LATE = 0.9  # of the shortest agreed time: expected over it everywhere, a query is turned away
+    YIELD = 0.15  # less of it for each better earning offering, which is left that much room
     UNHEARD = 0.25  # of the shortest agreed time: what an answer is taken to need before any was seen
     DRAWS = 3  # pairs drawn in a zone before the next is looked at: one odd pair is no full zone
     HURRY = 3  # a dispatch is out for this many times the expected answer before another may follow
@@ -505,10 +506,9 @@
         self.follow_failures = 0
         self.wake_at: int | None = None
         self.looked = False
-        better = [[p for p in offerings if p.earnings > o.earnings] for o in offerings]
+        ranks = [sum(p.earnings > o.earnings for p in offerings) for o in offerings]
         self.limits = [
-            min([int(o.agreed * self.LATE), *(int(p.agreed * self.YIELD) for p in above)])
-            for o, above in zip(offerings, better, strict=True)
+            int(self.shortest * max(self.LATE - self.YIELD * rank, self.SURPLUS)) for rank in ranks
         ]
 
     # -- calls in
