--- a/maddercart/logic.py
+++ b/maddercart/logic.py
@@ -57,16 +57,15 @@
         """How long one more query would take here, from the last few answers and those still owed."""
         out = len(self.out)
         if self.samples:
-            service = self.service()
-            base = median([duration for _, duration, _ in self.samples])
-            then = median([then for _, _, then in self.samples])
+            durations = sorted(duration for _, duration, _ in self.samples)
+            service, base = durations[len(durations) // 4], durations[len(durations) // 2]
+            then = sum(then for _, _, then in self.samples) / len(durations)
             fade = max(0.0, 1 - (now - self.samples[-1][0]) / self.FRESH)
             estimate = service + fade * (base - service)
             # The others' loads move as ours does, each on its own: deviations add up by their root.
             estimate += (out - then) * base / max(self.size, then + 1) * sidecars**0.5
-            estimate = max(estimate, self.samples[0][1] if len(self.samples) == 1 else service / 2)
+            estimate = max(estimate, service / 2)
         else:
-            service = typical
             estimate = typical * max(1.0, (out * sidecars + 1) / self.size)
         return int(max(estimate, now - next(iter(self.out.values()))[0] if self.out else 0))
 
@@ -75,6 +74,7 @@
     """The list as it was told, by zone, and what each upstream may still be sent."""
 
     HEAVY = 1.5  # a query may be heavier than the middle one: a margin of half keeps a sum of few inside
+    FLOOR = 0.5  # cores that every upstream has at least, halved: the other half covers what warm ones get
     TYPICAL_HOLDS = 50 * MILLISECOND  # worked out once in a while: it moves slowly and costs a look at all
 
     def __init__(self, cold: ColdRule, sidecars: int, zones: int, unheard: int) -> None:
@@ -84,6 +84,7 @@
         self.zones: list[list[Upstream]] = [[] for _ in range(zones)]  # those listed as ready
         self.typical_was = self.unheard = unheard
         self.typical_until = 0
+        self.sent_warm: list[deque[int]] = [deque(maxlen=32) for _ in range(zones)]  # 32: a steady rate
 
     def learn(self, now: int, entries: Sequence[Entry], whole: bool) -> None:
         if whole:
@@ -128,23 +129,30 @@
     def allows(self, now: int, known: Upstream, work: int) -> bool:
         """Whether our own part of a cold upstream's budget bears one more query.
 
-        Guards against all sidecars together pushing it over: each takes an equal part of what the rule
-        allows at the lowest capacity the settings permit for its age, counted as a single core's."""
-        age = now - known.entry.launched
-        if known.entry.launched == 0 or age >= self.cold.ramp:
+        Guards against all sidecars together pushing it over, with no word between them. Our part is what
+        we send to a warm one beside it, which carries all sidecars' parts, and an equal share of half a
+        core for those that send none; both at the lowest capacity the settings permit for its age."""
+        launched = known.entry.launched
+        age = now - launched
+        if launched == 0 or age >= self.cold.ramp:
             return True
         window = self.cold.window
         while known.sent_cold and known.sent_cold[0][0] <= now - window:
             known.sent_cold.popleft()
-        risen = max(0, age - window) / self.cold.ramp
-        capacity = self.cold.start + (1 - self.cold.start) * risen
-        budget = self.cold.multiple * capacity * window / self.sidecars
-        spent = sum(work for _, work in known.sent_cold)
-        return work > 0 and spent + work * self.HEAVY <= budget
+        capacity = self.cold.start + (1 - self.cold.start) * max(0, age - window) / self.cold.ramp
+        warm = [k.size for k in self.zones[known.entry.zone] if now - k.entry.launched >= self.cold.ramp]
+        sent = self.sent_warm[known.entry.zone]
+        cores = self.FLOOR / self.sidecars
+        if warm and len(sent) == sent.maxlen:
+            cores += sent.maxlen * work / max(now - sent[0], window) * known.size / sum(warm)
+        budget = self.cold.multiple * capacity * window * cores
+        return work > 0 and sum(work for _, work in known.sent_cold) + work * self.HEAVY <= budget
 
     def charge(self, now: int, known: Upstream, work: int) -> None:
         if known.entry.launched and now - known.entry.launched < self.cold.ramp:
             known.sent_cold.append((now, int(work * self.HEAVY)))
+        else:
+            self.sent_warm[known.entry.zone].append(now)
 
 
 # ---- Server health and ejection
@@ -505,7 +513,7 @@
         self.follow_at = now if permits.follow else None
         self.follow_failures = 0
         self.wake_at: int | None = None
-        self.looked = False
+        self.look_at = now
         ranks = [sum(p.earnings > o.earnings for p in offerings) for o in offerings]
         self.limits = [
             int(self.shortest * max(self.LATE - self.YIELD * rank, self.SURPLUS)) for rank in ranks
@@ -582,12 +590,11 @@
         self.changed()
 
     def woken(self, now: int) -> None:
-        self.wake_at = None
+        self.wake_at, self.look_at = None, now
         self.changed()
 
     def changed(self) -> None:
         self.lines.scan = None
-        self.looked = False
 
     # -- bookkeeping
 
@@ -624,8 +631,8 @@
     # -- decisions out
 
     def decide(self, now: int) -> Decision | None:
-        if not self.looked:
-            self.looked = True
+        if now >= self.look_at:
+            self.look_at = now + self.TICK // 2
             self.look(now)
         if self.said:
             return self.said.popleft()
