--- a/maddercart/interface.py
+++ b/maddercart/interface.py
@@ -87,7 +87,7 @@
 
 
 class Offering(NamedTuple):
-    """One type of query. `earnings` are per query, or per unit of work where the settings say so."""
+    """One type of query."""
 
     effect: int
     group: int
@@ -130,5 +130,4 @@
     cancel: bool
     probes: bool
     come_back: int
-    grace: int
     follow: bool
--- a/maddercart/logic.py
+++ b/maddercart/logic.py
@@ -7,11 +7,14 @@
 
  1. surplus      a query crosses zones only while its own zone cannot answer in time and another can
  2. early bounce a query is turned away when no upstream that may get it can answer it in time
- 3. grey         an upstream failing or lagging on most of its last queries is ejected as if in a row
+ 3. grey         an upstream failing or lagging on half of its last answers is ejected as if in a row,
+                 and after a canary's success it is on probation: one failure ejects it again
+ 4. further try  a redoable or labelled query overdue at one upstream goes to another as well or instead
 """
 
 from collections import deque
 from collections.abc import Iterator, Sequence
+from dataclasses import dataclass, field
 from itertools import chain
 from random import Random
 from statistics import median
@@ -34,7 +37,6 @@
     def __init__(self, entry: Entry) -> None:
         self.entry = entry
         self.size = max(1.0, entry.size)
-        self.told_off: int | None = None  # when we were told that it drains or is gone
         self.out: dict[tuple[int, int], tuple[int, int]] = {}  # dispatch: when sent, how many were out
         self.samples: deque[tuple[int, int, int]] = deque(maxlen=self.SAMPLES)  # end, duration, out then
         self.sent_cold: deque[tuple[int, int]] = deque()  # when, how much work
@@ -86,38 +88,25 @@
         self.typical_until = 0
         self.sent_warm: list[deque[int]] = [deque(maxlen=32) for _ in range(zones)]  # 32: a steady rate
 
-    def learn(self, now: int, entries: Sequence[Entry], whole: bool) -> None:
+    def learn(self, entries: Sequence[Entry], whole: bool) -> None:
+        """An upstream that drains or is gone leaves its zone at once: no use is made of the grace."""
         if whole:
-            named = {entry.upstream for entry in entries}
             for old in self.by_id.values():
-                if old.entry.upstream not in named:
-                    self.tell_off(now, old, GONE)
+                old.entry = old.entry._replace(condition=GONE)
         for entry in entries:
             known = self.by_id.get(entry.upstream)
-            if known is None:
-                known = self.by_id[entry.upstream] = Upstream(entry)
-            elif entry.launched > known.entry.launched:
-                # It restarted: what we knew was of another process. What is still out is kept.
-                out = known.out
-                known = self.by_id[entry.upstream] = Upstream(entry)
-                known.out = out
-            known.entry, known.size = entry, max(1.0, entry.size)
-            if entry.condition == READY:
-                known.told_off = None
+            if known is None or entry.launched > known.entry.launched:
+                fresh = self.by_id[entry.upstream] = Upstream(entry)
+                if known is not None:  # it restarted: all but what is still out was of another process
+                    fresh.out = known.out
             else:
-                self.tell_off(now, known, entry.condition)
+                known.entry, known.size = entry, max(1.0, entry.size)
         for zone in self.zones:
             zone.clear()
         for known in self.by_id.values():
             if known.entry.condition == READY:
                 self.zones[known.entry.zone].append(known)
 
-    @staticmethod
-    def tell_off(now: int, known: Upstream, condition: int) -> None:
-        known.entry = known.entry._replace(condition=condition)
-        if known.told_off is None:
-            known.told_off = now
-
     def typical(self, now: int) -> int:
         """What the middle upstream lately took for an answer; a guess while none is heard."""
         if now >= self.typical_until:
@@ -126,7 +115,7 @@
             self.typical_was = int(median(heard)) if heard else self.unheard
         return self.typical_was
 
-    def allows(self, now: int, known: Upstream, work: int) -> bool:
+    def allows(self, now: int, known: Upstream) -> bool:
         """Whether our own part of a cold upstream's budget bears one more query.
 
         Guards against all sidecars together pushing it over, with no word between them. Our part is what
@@ -136,7 +125,7 @@
         age = now - launched
         if launched == 0 or age >= self.cold.ramp:
             return True
-        window = self.cold.window
+        window, work = self.cold.window, known.service() or self.typical(now)
         while known.sent_cold and known.sent_cold[0][0] <= now - window:
             known.sent_cold.popleft()
         capacity = self.cold.start + (1 - self.cold.start) * max(0, age - window) / self.cold.ramp
@@ -146,11 +135,11 @@
         if warm and len(sent) == sent.maxlen:
             cores += sent.maxlen * work / max(now - sent[0], window) * known.size / sum(warm)
         budget = self.cold.multiple * capacity * window * cores
-        return work > 0 and sum(work for _, work in known.sent_cold) + work * self.HEAVY <= budget
+        return sum(work for _, work in known.sent_cold) + work * self.HEAVY <= budget
 
-    def charge(self, now: int, known: Upstream, work: int) -> None:
+    def charge(self, now: int, known: Upstream) -> None:
         if known.entry.launched and now - known.entry.launched < self.cold.ramp:
-            known.sent_cold.append((now, int(work * self.HEAVY)))
+            known.sent_cold.append((now, int((known.service() or self.typical(now)) * self.HEAVY)))
         else:
             self.sent_warm[known.entry.zone].append(now)
 
@@ -171,9 +160,6 @@
     def __init__(self, chance: Random) -> None:
         self.spread = chance.uniform
 
-    def ready(self, known: Upstream) -> bool:
-        return known.canary_due is None
-
     def judge(self, now: int, known: Upstream, good: bool, wrong: bool) -> bool:
         """Counts one answer of a query or a canary; True if it ejects the upstream."""
         known.outcomes.append(good)
@@ -198,11 +184,9 @@
         if known.canary_due is None:
             return
         if good:
-            known.canary_due = None
-            known.canary_out = False
-            known.failures = 0
-            known.outcomes.clear()
+            known.canary_due, known.canary_out, known.failures = None, False, 0
             known.probation = self.PROBATION
+            known.outcomes.clear()
         else:
             self.postpone(now, known)
 
@@ -259,8 +243,10 @@
 
     def zones(self, now: int) -> list[int]:
         """All zones, those that ordinary traffic goes to first."""
+        if self.state == FAILOVER:
+            return self.home
         rest = [zone for zone in self.order if zone not in self.home]
-        if self.state in (PRIMARY, FAILOVER):
+        if self.state == PRIMARY:
             since = now - self.returned
             if since < self.RISE and self.serving not in self.home and self.draw() * self.RISE > since:
                 return [self.serving, *self.home]
@@ -278,14 +264,10 @@
         if good:
             self.failed.clear()
             if self.state == FAILOVER:
-                self.state = PRIMARY
-                self.canary_zone = None
-        elif not self.failed or len(self.failed) < self.FAILURES or now > self.failed[-1]:
+                self.state, self.canary_zone = PRIMARY, None
+        else:
             self.failed.append(now)
 
-    def backups(self) -> list[int]:
-        return [zone for zone in self.order if zone not in self.home]
-
     def step(self, now: int) -> str | None:
         """Moves on by what is known; a note if the state changed."""
         before = self.state
@@ -293,7 +275,7 @@
             (len(self.failed) == self.FAILURES and now - self.failed[0] <= self.WITHIN)
             or now - self.failed[0] >= self.STRETCH
         )
-        backups = self.backups()
+        backups = [zone for zone in self.order if zone not in self.home]
         if self.state == PRIMARY and failing and backups:
             self.state, self.tried = FAILOVER, 0
         elif self.state == FAILOVER and not backups:
@@ -315,29 +297,22 @@
         zone, self.canary_zone = self.canary_zone, None
         if zone is None:
             return
-        if self.state == FAILOVER:
-            if good:
-                self.entries += 1
-                self.state, self.serving = BACKUP, zone
+        if self.state == FAILOVER and not good:
+            self.tried += 1
+        elif self.state == RECOVERY and good:
+            self.enter_primary(now)
+        else:
+            if self.state == FAILOVER:
+                self.entries, self.serving = self.entries + 1, zone
                 self.failed.clear()
-                self.restart_timer(now)
-            else:
-                self.tried += 1
-        elif self.state == RECOVERY:
-            if good:
-                self.enter_primary(now)
-            else:
-                self.state = BACKUP
-                self.restart_timer(now)
+            self.state = BACKUP
+            wait = min(self.RECOVER * self.entries, self.RECOVER_MOST)
+            self.timer = now + int(wait * self.spread(0.8, 1.2))
 
     def enter_primary(self, now: int) -> None:
         self.state, self.canary_zone, self.returned = PRIMARY, None, now
         self.failed.clear()
 
-    def restart_timer(self, now: int) -> None:
-        wait = min(self.RECOVER * self.entries, self.RECOVER_MOST)
-        self.timer = now + int(wait * self.spread(0.8, 1.2))
-
 
 # ---- The pick
 
@@ -377,24 +352,21 @@
 # ---- The query ledger: what may still be sent or said
 
 
+@dataclass(slots=True, eq=False)
 class Query:
-    __slots__ = (
-        "agreed", "came", "canaries", "customer", "effect", "ended", "key", "number", "offering", "out",
-        "owed_since", "sent", "stop", "streams", "suspects",
-    )  # fmt: skip
-
-    def __init__(self, number: int, offering: int, effect: int, customer: int, key: int) -> None:
-        self.number = number
-        self.offering = offering
-        self.effect = effect
-        self.customer = customer
-        self.key = key
-        self.came = self.stop = self.agreed = self.owed_since = 0
-        self.sent: list[tuple[Upstream, int]] = []  # each dispatch: where and when
-        self.out: set[int] = set()  # numbers of the dispatches without an outcome
-        self.suspects: set[int] = set()  # those that ended and may have run
-        self.canaries: set[int] = set()
-        self.ended = self.streams = False
+    number: int
+    offering: int
+    customer: int
+    effect: int
+    stop: int  # after this time nothing may be said
+    agreed: int
+    waits_since: int
+    sent: list[tuple[Upstream, int]] = field(default_factory=list)  # each dispatch: where and when
+    out: set[int] = field(default_factory=set)  # numbers of the dispatches without an outcome
+    suspects: set[int] = field(default_factory=set)  # those that ended and may have run
+    canaries: set[int] = field(default_factory=set)
+    ended: bool = False
+    streams: bool = False
 
 
 class Ledger:
@@ -421,16 +393,13 @@
 
     def may_go_to(self, query: Query, known: Upstream) -> bool:
         """Whether this one may: repeats of a labelled query stay where they are dropped."""
-        if query.effect != LABELLED:
-            return True
         group = self.offerings[query.offering].group
-        for number in chain(query.suspects, query.out):
-            entry = query.sent[number][0].entry
-            if group == SAME_ZONE and entry.zone != known.entry.zone:
-                return False
-            if group == SAME_CELL and entry.cell != known.entry.cell:
-                return False
-        return True
+        if query.effect != LABELLED or group not in (SAME_ZONE, SAME_CELL):
+            return True
+        ran = [query.sent[number][0].entry for number in chain(query.suspects, query.out)]
+        if group == SAME_ZONE:
+            return all(entry.zone == known.entry.zone for entry in ran)
+        return all(entry.cell == known.entry.cell for entry in ran)
 
     def may_bounce(self, query: Query) -> bool:
         if query.effect == REDOABLE or not (query.out or query.suspects):
@@ -477,6 +446,7 @@
     SURPLUS = 0.6  # of the shortest agreed time: home expected over it lets a query cross
     LATE = 0.9  # of the shortest agreed time: expected over it everywhere, a query is turned away
     YIELD = 0.15  # less of it for each better earning offering, which is left that much room
+    OVER = 1.2  # times its share: the last hundred queries stray that far by chance alone
     UNHEARD = 0.25  # of the shortest agreed time: what an answer is taken to need before any was seen
     DRAWS = 3  # pairs drawn in a zone before the next is looked at: one odd pair is no full zone
     HURRY = 3  # a dispatch is out for this many times the expected answer before another may follow
@@ -486,16 +456,9 @@
     TICK = 50 * MILLISECOND  # how soon waiting queries, timers and canaries are looked at again
 
     def __init__(
-        self,
-        now: int,
-        seed: int,
-        place: Place,
-        offerings: Sequence[Offering],
-        customers: Sequence[Customer],
-        by_work: bool,
-        cold: ColdRule,
-        permits: Permits,
-    ) -> None:
+        self, now: int, seed: int, place: Place, offerings: Sequence[Offering],
+        customers: Sequence[Customer], cold: ColdRule, permits: Permits,
+    ) -> None:  # fmt: skip
         chance = Random(seed)
         self.spread = chance.uniform
         self.shortest = min((o.agreed for o in offerings), default=SECOND)
@@ -514,15 +477,14 @@
         self.follow_failures = 0
         self.wake_at: int | None = None
         self.look_at = now
-        ranks = [sum(p.earnings > o.earnings for p in offerings) for o in offerings]
-        self.limits = [
-            int(self.shortest * max(self.LATE - self.YIELD * rank, self.SURPLUS)) for rank in ranks
-        ]
+        self.ranks = [sum(p.earnings > o.earnings for p in offerings) for o in offerings]
+        self.shares = [customer.share for customer in customers]
+        self.callers: deque[int] = deque(maxlen=100)  # customers of the last queries: a share in percent
 
     # -- calls in
 
     def learn(self, now: int, entries: Sequence[Entry], whole: bool) -> None:
-        self.known.learn(now, entries, whole)
+        self.known.learn(entries, whole)
         self.group.lay(self.known.zones)
         self.follow_failures = 0
         self.changed()
@@ -534,11 +496,11 @@
         self.changed()
 
     def take(self, now: int, number: int, offering: int, customer: int, remaining: int, key: int) -> None:
-        query = Query(number, offering, self.offerings[offering].effect, customer, key)
-        query.came = query.owed_since = now
-        query.stop = now + remaining
-        query.agreed = now + min(remaining, self.offerings[offering].agreed)
+        terms = self.offerings[offering]
+        agreed = now + min(remaining, terms.agreed)
+        query = Query(number, offering, customer, terms.effect, now + remaining, agreed, now)
         self.ledger.queries[number] = query
+        self.callers.append(customer)
         self.lines.add(query)
         self.changed()
 
@@ -562,7 +524,7 @@
             if ended or query.ended:
                 self.close(query)
             elif not query.out and not query.streams:
-                query.owed_since = now
+                query.waits_since = now
                 self.lines.add(query)
         self.changed()
 
@@ -603,16 +565,16 @@
             return
         zone = known.entry.zone
         done = outcome == DONE
-        slow = outcome in (DONE, TIMED_OUT)
-        good = slow and not self.lags(now, duration)  # a time-out as long as others' answers is no failure
-        if slow:
+        timed = outcome in (DONE, TIMED_OUT)
+        good = timed and not self.lags(now, duration)  # a time-out as long as others' answers is no failure
+        if timed:
             known.samples.append((now, duration, then))
         if canary:
             self.health.canary(now, known, good)
             if self.group.canary_sent and zone == self.group.canary_zone:
                 self.group.canary(now, good)
             return
-        if self.health.judge(now, known, good, not slow):
+        if self.health.judge(now, known, good, not timed):
             self.said.append(("note", f"ejected {known.entry.upstream}"))
         if done or outcome in (UNREACHABLE, RESET, TIMED_OUT):
             self.group.heard(now, zone, done)
@@ -645,27 +607,33 @@
         """A dispatch, a final answer, or None: the query waits."""
         if not self.ledger.may_send(now, query):
             return None if query.out else self.answer(now, query, 0)
-        if (query.suspects or query.out) and self.recent.count(True) >= self.FURTHER * 50:
+        doubtful = bool(query.suspects or query.out)
+        if doubtful and self.recent.count(True) >= self.FURTHER * len(self.recent):
+            self.lines.drop(query)
             return None if query.out else self.answer(now, query, 0)
         typical = self.known.typical(now)
-        canary = self.canary_target(now, query, typical)
+        canary = self.canary_target(now, query)
         if canary is not None:
             return self.dispatch(now, query, canary, typical, True)
         chosen, expected = self.choose(now, query, typical)
-        left = query.agreed - now
-        if query.out and (chosen is None or expected > left):
+        limit = min(self.room(query), query.agreed - now)
+        if query.out and (chosen is None or expected > limit):
             self.lines.drop(query)
             return None
         if chosen is None:
-            waited = now - query.owed_since > self.PATIENCE * self.offerings[query.offering].agreed
-            return self.answer(now, query, 0) if waited else None
-        limit = self.limits[query.offering]
-        if not query.suspects and (expected > limit or expected > left) and self.late_is_lost(now, query):
+            waited = now - query.waits_since > self.PATIENCE * self.offerings[query.offering].agreed
+            return self.answer(now, query, 0) if waited or query.stop - now < 2 * self.TICK else None
+        if expected > limit and not query.suspects and self.ledger.may_bounce(query):
             return self.answer(now, query, expected - limit)
-        return self.dispatch(now, query, chosen, typical, False)
+        return self.dispatch(now, query, chosen, expected, False)
 
-    def late_is_lost(self, now: int, query: Query) -> bool:
-        return self.ledger.may_bounce(query)
+    def room(self, query: Query) -> int:
+        """How long an answer may be expected to take: least for what earns least, and for a customer
+        that sends more than its share of the queries, so that the others find room."""
+        rank = self.ranks[query.offering]
+        if query.customer < len(self.shares) and len(self.callers) == self.callers.maxlen:
+            rank += self.callers.count(query.customer) > self.OVER * self.shares[query.customer] * 100
+        return int(self.shortest * max(self.LATE - self.YIELD * rank, self.SURPLUS))
 
     def choose(self, now: int, query: Query, typical: int) -> tuple[Upstream | None, int]:
         """The pick in the first zone that can answer in time; else the soonest of the picks."""
@@ -676,8 +644,8 @@
         for zone in self.group.zones(now):
             ready = [
                 known for known in self.known.zones[zone]
-                if known.canary_due is None and known not in tried and self.ledger.may_go_to(query, known)
-                and self.known.allows(now, known, known.service() or typical)
+                if known.canary_due is None and self.known.allows(now, known)
+                and (not tried or (known not in tried and self.ledger.may_go_to(query, known)))
             ]  # fmt: skip
             for _ in range(self.DRAWS):
                 chosen = self.pick.choose(now, ready)
@@ -691,50 +659,48 @@
                 ready.remove(chosen)
         return best, soonest
 
-    def canary_target(self, now: int, query: Query, typical: int) -> Upstream | None:
+    def canary_target(self, now: int, query: Query) -> Upstream | None:
         """Where probes are not allowed, a redoable query's first dispatch serves as the canary."""
         if self.permits.probes or query.effect != REDOABLE or query.sent:
             return None
         group = self.group
         if group.canary_zone is not None and not group.canary_sent:
-            listed = [k for k in self.known.zones[group.canary_zone] if self.known.allows(now, k, typical)]
+            listed = [k for k in self.known.zones[group.canary_zone] if self.known.allows(now, k)]
             if (chosen := self.pick.choose(now, listed)) is not None:
                 group.canary_sent = True
                 return chosen
-        for zone in self.known.zones:
-            for known in zone:
-                due = known.canary_due
-                if due is None or now < due or known.canary_out:
+        for known in chain.from_iterable(self.known.zones):
+            if known.canary_due is not None and now >= known.canary_due and not known.canary_out:
+                if not self.known.allows(now, known):
                     continue
-                if self.known.allows(now, known, known.service() or typical):
-                    known.canary_out = True
-                    return known
+                known.canary_out = True
+                return known
         return None
 
-    def dispatch(self, now: int, query: Query, known: Upstream, typical: int, canary: bool) -> Decision:
+    def dispatch(self, now: int, query: Query, known: Upstream, expected: int, canary: bool) -> Decision:
         shot = len(query.sent)
         if canary:
             query.canaries.add(shot)
         self.recent.append(bool(query.suspects or query.out))
-        self.known.charge(now, known, known.service() or typical)
+        self.known.charge(now, known)
         known.out[query.number, shot] = (now, len(known.out))
         query.sent.append((known, now))
         query.out.add(shot)
         self.lines.drop(query)
         self.lines.scan = None
-        patience = self.patience(now, query, known, typical)
+        patience = self.patience(now, query, expected)
         if patience and self.permits.copies:
             self.copies_due.append((now + patience, query))
             patience = 0
         return ("dispatch", query.number, known.entry.upstream, patience or query.stop - now)
 
-    def patience(self, now: int, query: Query, known: Upstream, typical: int) -> int:
+    def patience(self, now: int, query: Query, expected: int) -> int:
         """How long to wait before another upstream is worth a try; 0: as long as the client does."""
         if query.effect == IRREVERSIBLE or len(query.sent) >= self.ledger.dispatches:
             return 0
         left = query.agreed - now
-        patient = max(self.HURRY * known.expected(now, typical, self.known.sidecars), left // 2)
-        return patient if patient <= left - typical else 0
+        patient = max(self.HURRY * expected, left // 2)
+        return patient if patient <= left - self.known.typical(now) else 0
 
     def answer(self, now: int, query: Query, after: int) -> Decision:
         """The final answer to a query that is given up on."""
@@ -768,16 +734,14 @@
             if (chosen := self.pick.choose(now, listed)) is not None:
                 group.canary_sent = True
                 self.probe(now, chosen)
-        for zone in self.known.zones:
-            for known in zone:
-                if known.probe_out:
-                    continue
-                if known.canary_due is not None:
-                    if now >= known.canary_due:
-                        known.canary_out = True
-                        self.probe(now, known)
-                elif now - known.probed_at >= self.LOOK:
-                    self.probe(now, known)
+        for known in chain.from_iterable(self.known.zones):
+            if known.canary_due is None:
+                due = known.probed_at + self.LOOK
+            else:
+                due = known.canary_due
+            if now >= due and not known.probe_out:
+                known.canary_out = known.canary_due is not None
+                self.probe(now, known)
 
     def probe(self, now: int, known: Upstream) -> None:
         known.probe_out = True
--- a/maddercart/wirehost/settings.py
+++ b/maddercart/wirehost/settings.py
@@ -91,7 +91,6 @@
         ),
         "offerings": offerings,
         "customers": customers,
-        "by_work": s.pairs.get("earnings_per") == "work",
         "cold": i.ColdRule(
             start=s.number("rules.cold_from"),
             ramp=s.nanos("rules.ramp_time"),
@@ -104,7 +103,6 @@
             cancel=s.flag("limits.cancel", False),
             probes=s.flag("limits.probing", False),
             come_back=come_back,
-            grace=s.nanos("rules.stop_sending_within"),
             follow=s.pairs.get("discovery") == "ask",
         ),
     }
