--- a/maddercart/logic.py
+++ b/maddercart/logic.py
@@ -243,10 +243,8 @@
 
     def zones(self, now: int) -> list[int]:
         """All zones, those that ordinary traffic goes to first."""
-        if self.state == FAILOVER:
-            return self.home
         rest = [zone for zone in self.order if zone not in self.home]
-        if self.state == PRIMARY:
+        if self.state in (PRIMARY, FAILOVER):
             since = now - self.returned
             if since < self.RISE and self.serving not in self.home and self.draw() * self.RISE > since:
                 return [self.serving, *self.home]
@@ -735,10 +733,7 @@
                 group.canary_sent = True
                 self.probe(now, chosen)
         for known in chain.from_iterable(self.known.zones):
-            if known.canary_due is None:
-                due = known.probed_at + self.LOOK
-            else:
-                due = known.canary_due
+            due = known.probed_at + self.LOOK if known.canary_due is None else known.canary_due
             if now >= due and not known.probe_out:
                 known.canary_out = known.canary_due is not None
                 self.probe(now, known)
