--- a/maddercart/logic.py
+++ b/maddercart/logic.py
@@ -243,8 +243,10 @@
 
     def zones(self, now: int) -> list[int]:
         """All zones, those that ordinary traffic goes to first."""
+        if self.state == FAILOVER:
+            return self.home
         rest = [zone for zone in self.order if zone not in self.home]
-        if self.state in (PRIMARY, FAILOVER):
+        if self.state == PRIMARY:
             since = now - self.returned
             if since < self.RISE and self.serving not in self.home and self.draw() * self.RISE > since:
                 return [self.serving, *self.home]
@@ -447,11 +449,11 @@
     OVER = 1.2  # times its share: the last hundred queries stray that far by chance alone
     UNHEARD = 0.25  # of the shortest agreed time: what an answer is taken to need before any was seen
     DRAWS = 3  # pairs drawn in a zone before the next is looked at: one odd pair is no full zone
-    HURRY = 3  # a dispatch is out for this many times the expected answer before another may follow
+    HURRY = 4  # a dispatch is out for this many times the expected answer before another may follow
     FURTHER = 0.2  # further dispatches after doubt, at most this share of the last ones: no storms
     LOOK = SECOND  # each upstream is probed about this often where only probes bring reports
     FOLLOW_FIRST, FOLLOW_MOST = SECOND // 2, 8 * SECOND  # pauses after failed calls to the list
-    TICK = 50 * MILLISECOND  # how soon waiting queries, timers and canaries are looked at again
+    TICK = 20 * MILLISECOND  # how soon waiting queries, timers and canaries are looked at again
 
     def __init__(
         self, now: int, seed: int, place: Place, offerings: Sequence[Offering],
@@ -473,7 +475,7 @@
         self.recent: deque[bool] = deque(maxlen=50)  # the last dispatches: whether it was a further one
         self.follow_at = now if permits.follow else None
         self.follow_failures = 0
-        self.wake_at: int | None = None
+        self.waking = False
         self.look_at = now
         self.ranks = [sum(p.earnings > o.earnings for p in offerings) for o in offerings]
         self.shares = [customer.share for customer in customers]
@@ -550,7 +552,7 @@
         self.changed()
 
     def woken(self, now: int) -> None:
-        self.wake_at, self.look_at = None, now
+        self.waking, self.look_at = False, now
         self.changed()
 
     def changed(self) -> None:
@@ -599,7 +601,7 @@
         while (query := self.lines.next()) is not None:
             if not query.ended and (decision := self.place(now, query)) is not None:
                 return decision
-        return self.wake(now)
+        return self.wake()
 
     def place(self, now: int, query: Query) -> Decision | None:
         """A dispatch, a final answer, or None: the query waits."""
@@ -743,8 +745,8 @@
         known.probed_at = now + int(self.LOOK * self.spread(-0.1, 0.1))
         self.said.append(("probe", known.entry.upstream))
 
-    def wake(self, now: int) -> Decision | None:
-        if self.wake_at is not None and self.wake_at > now:
+    def wake(self) -> Decision | None:
+        if self.waking:  # only ever one: each that fires asks for the next
             return None
-        self.wake_at = now + self.TICK
+        self.waking = True
         return ("wake", self.TICK)
