--- a/maddercart/logic.py
+++ b/maddercart/logic.py
@@ -449,7 +449,7 @@
     OVER = 1.2  # times its share: the last hundred queries stray that far by chance alone
     UNHEARD = 0.25  # of the shortest agreed time: what an answer is taken to need before any was seen
     DRAWS = 3  # pairs drawn in a zone before the next is looked at: one odd pair is no full zone
-    HURRY = 4  # a dispatch is out for this many times the expected answer before another may follow
+    HURRY = 6  # a dispatch is out for this many times the expected answer before another may follow
     FURTHER = 0.2  # further dispatches after doubt, at most this share of the last ones: no storms
     LOOK = SECOND  # each upstream is probed about this often where only probes bring reports
     FOLLOW_FIRST, FOLLOW_MOST = SECOND // 2, 8 * SECOND  # pauses after failed calls to the list
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,148 @@
+"""A slow, plain model of the four rules beside the module, on generated days."""
+
+from random import Random
+
+import pytest
+
+from maddercart import interface as i
+from tests.helpers import COLD, MS, Host, entry, offering, permits
+
+NEVER = (i.FULL, i.UNREACHABLE, i.MOOT)
+
+
+class Rules:
+    """What may be done, written down once more from the rules and from nothing in the module."""
+
+    def __init__(self, offerings: list[i.Offering], allowed: i.Permits) -> None:
+        self.offerings, self.allowed = offerings, allowed
+        self.kinds: dict[int, int] = {}
+        self.stops: dict[int, int] = {}
+        self.sent: dict[int, list[list[int]]] = {}  # per dispatch: upstream, when, outcome (0: out)
+        self.answered: set[int] = set()
+        self.listed: dict[int, i.Entry] = {}
+
+    def may_dispatch(self, now: int, query: int, upstream: int) -> None:
+        terms, sent = self.offerings[self.kinds[query]], self.sent[query]
+        assert query not in self.answered and now < self.stops[query]
+        assert self.listed[upstream].condition == i.READY
+        assert len(sent) < self.allowed.dispatches
+        out = [shot for shot in sent if shot[2] == 0]
+        ran = [shot for shot in sent if shot[2] not in NEVER]
+        assert not out or self.allowed.copies
+        if ran and terms.effect == i.IRREVERSIBLE:
+            pytest.fail("irreversible, and an earlier dispatch may have run")
+        if ran and terms.effect == i.LABELLED:
+            assert now - min(shot[1] for shot in ran) < terms.window
+            for shot in ran:
+                here, there = self.listed[upstream], self.listed[shot[0]]
+                assert terms.group != i.SAME_ZONE or here.zone == there.zone
+                assert terms.group != i.SAME_CELL or here.cell == there.cell
+        sent.append([upstream, now, 0])
+
+    def may_answer(self, query: int, bounced: bool) -> None:
+        terms = self.offerings[self.kinds[query]]
+        ran = [shot for shot in self.sent[query] if shot[2] not in NEVER]
+        assert query not in self.answered
+        if bounced and ran:
+            assert terms.effect == i.REDOABLE or (terms.effect, terms.group) == (i.LABELLED, i.EVERYWHERE)
+        self.answered.add(query)
+
+
+def follow(rules: Rules, host: Host, decisions: list[i.Decision]) -> None:
+    for decision in decisions:
+        match decision:
+            case ("dispatch", int(query), int(upstream), _):
+                rules.may_dispatch(host.now, query, upstream)
+            case ("bounce", int(query), _):
+                rules.may_answer(query, True)
+            case ("abort", int(query)):
+                rules.may_answer(query, False)
+
+
+@pytest.mark.parametrize("seed", range(60))
+def test_rules_hold_on_generated_days(seed: int) -> None:
+    chance = Random(seed)
+    offerings = [
+        offering(effect, chance.choice([i.EVERYWHERE, i.SAME_ZONE, i.SAME_CELL]),
+                 earnings=chance.random(), window=chance.choice([50, 200, 1000]) * MS)
+        for effect in (i.REDOABLE, i.LABELLED, i.IRREVERSIBLE)
+    ]  # fmt: skip
+    allowed = permits(
+        dispatches=chance.randint(1, 4), copies=chance.random() < 0.5, cancel=chance.random() < 0.5,
+        probes=chance.random() < 0.5, come_back=chance.choice([0, i.SECOND]),
+    )  # fmt: skip
+    zones = chance.randint(1, 3)
+    lines = [entry(n, n % zones) for n in range(chance.randint(0, 6))]
+    customers = [i.Customer(0.7, 10.0), i.Customer(0.3, 5.0)] if seed % 2 else []
+    rules = Rules(offerings, allowed)
+    rules.listed = {line.upstream: line for line in lines}
+    host = Host(lines, zones, seed, offerings=offerings, permits=allowed, customers=customers)
+    ill = {line.upstream: chance.random() for line in lines}
+    for _ in range(600):
+        host.now += chance.randrange(1, 20) * MS
+        step = chance.random()
+        if step < 0.5:
+            kind, remaining = chance.randrange(3), chance.randrange(100, 900) * MS
+            rules.kinds[host.queries + 1] = kind
+            rules.stops[host.queries + 1] = host.now + remaining
+            rules.sent[host.queries + 1] = []
+            follow(rules, host, host.take(kind, remaining, chance.randrange(2)))
+        elif step < 0.55:
+            n = chance.randrange(8)
+            launched = host.now if chance.random() < 0.3 else 0
+            line = entry(n, n % zones, chance.choice([i.READY, i.READY, i.DRAINING, i.GONE]), launched)
+            rules.listed[n] = line
+            host.balancer.learn(host.now, [line], False)
+            follow(rules, host, host.pull())
+        elif step < 0.58 and rules.stops:
+            query = chance.choice(list(rules.stops))
+            if query not in rules.answered:
+                host.balancer.left(host.now, query)
+                rules.answered.add(query)
+                follow(rules, host, host.pull())
+        for upstream in list(host.probes):
+            follow(rules, host, host.probed(upstream, chance.random() > ill.get(upstream, 0.0)))
+        for (query, shot), (upstream, sent, limit) in list(host.out.items()):
+            if host.now - sent >= limit:
+                outcome = i.TIMED_OUT
+            elif chance.random() < 0.2:
+                bad = chance.random() < ill.get(upstream, 0.5)
+                outcome = chance.choice([2, 3, 5, 6]) if bad else i.DONE
+            else:
+                continue
+            rules.sent[query][shot][2] = outcome
+            ended = query in rules.answered or outcome == i.DONE
+            if outcome == i.DONE:
+                rules.answered.add(query)
+            follow(rules, host, host.end(query, shot, outcome, ended))
+        host.balancer.woken(host.now)
+        follow(rules, host, host.pull())
+        for query, stop in rules.stops.items():
+            waits = any(shot[2] == 0 for shot in rules.sent[query])
+            assert query in rules.answered or waits or host.now <= stop, "a query was lost"
+
+
+@pytest.mark.parametrize("sidecars", [1, 2, 3, 6])
+def test_sidecars_together_keep_a_cold_upstream_up(sidecars: int) -> None:
+    """Guards the budget over any window while each sidecar knows only what it sends itself."""
+    work, cold = 50 * MS, entry(0, launched=100 * i.SECOND)
+    hosts = [Host([cold, *(entry(n) for n in range(1, 4))], 1, n, sidecars) for n in range(sidecars)]
+    chance, arrived = Random(sidecars), []
+    for _ in range(2000):
+        for host in hosts:
+            host.now += 5 * MS
+            if chance.random() < 0.3 / sidecars:
+                host.take()
+            for (query, shot), (upstream, sent, _) in list(host.out.items()):
+                if sent == host.now and upstream == 0:
+                    arrived.append(host.now)
+                if host.now - sent >= work:
+                    host.end(query, shot, i.DONE)
+            host.balancer.woken(host.now)
+            host.pull()
+    assert arrived
+    for at in arrived:
+        age = at - cold.launched
+        capacity = min(1.0, COLD.start + (1 - COLD.start) * age / COLD.ramp)
+        inside = sum(work for other in arrived if at - COLD.window < other <= at)
+        assert age >= COLD.ramp or inside <= COLD.multiple * capacity * COLD.window
