--- a/maddercart/logic.py
+++ b/maddercart/logic.py
@@ -40,14 +40,12 @@
         self.out: dict[tuple[int, int], tuple[int, int]] = {}  # dispatch: when sent, how many were out
         self.samples: deque[tuple[int, int, int]] = deque(maxlen=self.SAMPLES)  # end, duration, out then
         self.sent_cold: deque[tuple[int, int]] = deque()  # when, how much work
-        self.report: tuple[int, Report, int] | None = None  # when heard, and how many were out then
+        self.report: tuple[int, Report] | None = None  # when heard
         self.outcomes: deque[bool] = deque(maxlen=self.SAMPLES)
-        self.failures = 0  # in a row
-        self.ejections = 0
+        self.failures = self.pauses = 0  # in a row; since it was last well
         self.probation = 0  # good answers still to come before a failure is borne again
         self.canary_due: int | None = None  # set while ejected
-        self.canary_out = False
-        self.probe_out = False
+        self.canary_out = self.probe_out = False
         self.probed_at = 0
 
     def service(self) -> int:
@@ -116,14 +114,11 @@
         return self.typical_was
 
     def allows(self, now: int, known: Upstream) -> bool:
-        """Whether our own part of a cold upstream's budget bears one more query.
-
-        Guards against all sidecars together pushing it over, with no word between them. Our part is what
-        we send to a warm one beside it, which carries all sidecars' parts, and an equal share of half a
-        core for those that send none; both at the lowest capacity the settings permit for its age."""
-        launched = known.entry.launched
-        age = now - launched
-        if launched == 0 or age >= self.cold.ramp:
+        """Guards against all sidecars together pushing a cold one over, with no word between them. Our
+        part is what we send to a warm one beside it, which carries all sidecars' parts, and an equal share
+        of half a core; both at the lowest capacity that the settings permit for its age."""
+        age = now - known.entry.launched
+        if known.entry.launched == 0 or age >= self.cold.ramp:
             return True
         window, work = self.cold.window, known.service() or self.typical(now)
         while known.sent_cold and known.sent_cold[0][0] <= now - window:
@@ -154,7 +149,7 @@
     GREY = 4  # failures among the last eight that eject as well: half, which chance alone seldom gives
     PROBATION = 8  # after a canary: guards against one that fails on part, whose canary had luck
     LAG = 4  # an answer this many times slower than the fleet's middle one is no success
-    CANARY_EVERY = SECOND // 2  # a crashed process takes seconds to come back; grows by the ejection
+    CANARY_EVERY = SECOND // 2  # a crashed process takes seconds to come back; grows with each
     CANARY_MOST = 4 * SECOND
 
     def __init__(self, chance: Random) -> None:
@@ -167,27 +162,28 @@
         if known.canary_due is not None:
             return False
         relapsed = known.probation > 0 and wrong
-        known.probation = max(0, known.probation - good)
+        if known.probation and good:
+            known.probation -= 1
+            known.pauses *= known.probation > 0
         if not relapsed and known.failures < self.IN_A_ROW and known.outcomes.count(False) < self.GREY:
             return False
-        known.ejections += 1
         self.postpone(now, known)
         return True
 
     def postpone(self, now: int, known: Upstream) -> None:
-        pause = min(self.CANARY_EVERY * max(1, known.ejections), self.CANARY_MOST)
+        # Grows by each canary that fails too: many sidecars asking one dead process cost a query each.
+        known.pauses += 1
+        pause = min(self.CANARY_EVERY * known.pauses, self.CANARY_MOST)
         known.canary_due = now + int(pause * self.spread(0.8, 1.2))
         known.canary_out = False
 
     def canary(self, now: int, known: Upstream, good: bool) -> None:
         """What a canary to an ejected upstream brought."""
-        if known.canary_due is None:
-            return
-        if good:
+        if good and known.canary_due is not None:
             known.canary_due, known.canary_out, known.failures = None, False, 0
             known.probation = self.PROBATION
             known.outcomes.clear()
-        else:
+        elif known.canary_due is not None:
             self.postpone(now, known)
 
 
@@ -222,24 +218,18 @@
         self.state = PRIMARY
         self.serving = place.zone  # the backup zone while in BACKUP or RECOVERY
         self.failed: deque[int] = deque(maxlen=self.FAILURES)  # times of the failures in a row
-        self.entries = 0
-        self.timer = 0
+        self.entries = self.timer = 0
         self.returned = -self.RISE
         self.tried = 0  # how many backups this failover has asked
         self.canary_zone: int | None = None
-        self.canary_sent = False
-        self.canary_until = 0
+        self.canary_sent, self.canary_until = False, 0
 
     def lay(self, zones: Sequence[Sequence[Upstream]]) -> None:
         """The primary: our zone and the next ones while it holds under a zone's part of the fleet."""
         part = sum(map(len, zones)) // len(zones)
-        held = 0
-        self.home = []
-        for zone in self.order:
-            if self.home and held >= part:
-                break
-            self.home.append(zone)
-            held += len(zones[zone])
+        self.home = self.order[:1]
+        while sum(len(zones[zone]) for zone in self.home) < part:
+            self.home = self.order[: len(self.home) + 1]
 
     def zones(self, now: int) -> list[int]:
         """All zones, those that ordinary traffic goes to first."""
@@ -253,13 +243,9 @@
             return [*self.home, *rest]
         return [self.serving, *(zone for zone in rest if zone != self.serving)]
 
-    def carries(self, zone: int) -> bool:
-        """Whether the zone is the one that the machine judges now."""
-        return zone in self.home if self.state in (PRIMARY, FAILOVER) else zone == self.serving
-
     def heard(self, now: int, zone: int, good: bool) -> None:
         """An ordinary dispatch answered, or failed to connect, was reset or timed out."""
-        if not self.carries(zone):
+        if zone not in (self.home if self.state in (PRIMARY, FAILOVER) else (self.serving,)):
             return
         if good:
             self.failed.clear()
@@ -287,8 +273,7 @@
             self.state = RECOVERY
         if self.state in (FAILOVER, RECOVERY) and self.canary_zone is None:
             self.canary_zone = self.own if self.state == RECOVERY else backups[self.tried % len(backups)]
-            self.canary_sent = False
-            self.canary_until = now + self.CANARY_WAIT
+            self.canary_sent, self.canary_until = False, now + self.CANARY_WAIT
         elif self.canary_zone is not None and now >= self.canary_until:
             self.canary(now, False)
         return f"{before} to {self.state}" if self.state != before else None
@@ -330,7 +315,7 @@
         """What it holds; None if unheard."""
         if known.report is None:
             return None if not known.samples else float(len(known.out))
-        at, report, _ = known.report
+        at, report = known.report
         weight = max(0.0, 1 - (now - at) / self.AGE)
         return len(known.out) + weight * max(report.held, report.waiting, 0.0)
 
@@ -487,13 +472,11 @@
         self.known.learn(entries, whole)
         self.group.lay(self.known.zones)
         self.follow_failures = 0
-        self.changed()
 
     def list_failed(self, now: int) -> None:
         pause = min(self.FOLLOW_FIRST << min(self.follow_failures, 5), self.FOLLOW_MOST)
         self.follow_failures += 1
         self.follow_at = now + int(pause * self.spread(0.5, 1.5))
-        self.changed()
 
     def take(self, now: int, number: int, offering: int, customer: int, remaining: int, key: int) -> None:
         terms = self.offerings[offering]
@@ -502,7 +485,6 @@
         self.ledger.queries[number] = query
         self.callers.append(customer)
         self.lines.add(query)
-        self.changed()
 
     def outcome(
         self, now: int, number: int, upstream: int, shot: int, duration: int, outcome: int, ended: bool,
@@ -514,7 +496,7 @@
         if known is not None:
             sent = known.out.pop((number, shot), None)
             if report is not None:
-                known.report = (now, report, len(known.out))
+                known.report = (now, report)
             if sent is not None and outcome != MOOT:
                 self.judge(now, known, outcome, duration, sent[1], canary)
         if query is not None:
@@ -526,7 +508,6 @@
             elif not query.out and not query.streams:
                 query.waits_since = now
                 self.lines.add(query)
-        self.changed()
 
     def started(self, now: int, number: int) -> None:
         if (query := self.ledger.queries.get(number)) is not None:
@@ -535,49 +516,40 @@
     def left(self, now: int, number: int) -> None:
         if (query := self.ledger.queries.get(number)) is not None and not query.ended:
             self.close(query)
-        self.changed()
 
     def probed(self, now: int, upstream: int, ok: bool, duration: int, report: Report | None) -> None:
-        known = self.known.by_id.get(upstream)
-        if known is None:
+        if (known := self.known.by_id.get(upstream)) is None:
             return
         known.probe_out = False
         if report is not None:
-            known.report = (now, report, len(known.out))
-        good = ok and not self.lags(now, duration)
-        if known.canary_out:
-            self.health.canary(now, known, good)
-        if self.group.canary_sent and known.entry.zone == self.group.canary_zone:
-            self.group.canary(now, good)
-        self.changed()
+            known.report = (now, report)
+        self.canary_back(now, known, ok and not self.lags(now, duration))
 
     def woken(self, now: int) -> None:
         self.waking, self.look_at = False, now
-        self.changed()
-
-    def changed(self) -> None:
-        self.lines.scan = None
 
     # -- bookkeeping
 
     def judge(self, now: int, known: Upstream, outcome: int, duration: int, then: int, canary: bool) -> None:
         if outcome in (CANCELLED, FULL):
             return
-        zone = known.entry.zone
-        done = outcome == DONE
         timed = outcome in (DONE, TIMED_OUT)
         good = timed and not self.lags(now, duration)  # a time-out as long as others' answers is no failure
         if timed:
             known.samples.append((now, duration, then))
         if canary:
-            self.health.canary(now, known, good)
-            if self.group.canary_sent and zone == self.group.canary_zone:
-                self.group.canary(now, good)
+            self.canary_back(now, known, good)
             return
         if self.health.judge(now, known, good, not timed):
             self.said.append(("note", f"ejected {known.entry.upstream}"))
-        if done or outcome in (UNREACHABLE, RESET, TIMED_OUT):
-            self.group.heard(now, zone, done)
+        if outcome in (DONE, UNREACHABLE, RESET, TIMED_OUT):
+            self.group.heard(now, known.entry.zone, outcome == DONE)
+
+    def canary_back(self, now: int, known: Upstream, good: bool) -> None:
+        if known.canary_out:
+            self.health.canary(now, known, good)
+        if self.group.canary_sent and known.entry.zone == self.group.canary_zone:
+            self.group.canary(now, good)
 
     def lags(self, now: int, duration: int) -> bool:
         """Guards against upstreams many times slower than the rest, which never quite fail."""
@@ -601,7 +573,11 @@
         while (query := self.lines.next()) is not None:
             if not query.ended and (decision := self.place(now, query)) is not None:
                 return decision
-        return self.wake()
+        if not self.waking:  # only ever one: each that fires asks for the next
+            self.waking = True
+            return ("wake", self.TICK)
+        self.lines.scan = None  # the next call may change what can be sent: all are looked at again
+        return None
 
     def place(self, now: int, query: Query) -> Decision | None:
         """A dispatch, a final answer, or None: the query waits."""
@@ -612,8 +588,7 @@
             self.lines.drop(query)
             return None if query.out else self.answer(now, query, 0)
         typical = self.known.typical(now)
-        canary = self.canary_target(now, query)
-        if canary is not None:
+        if (canary := self.canary_target(now, query)) is not None:
             return self.dispatch(now, query, canary, typical, True)
         chosen, expected = self.choose(now, query, typical)
         limit = min(self.room(query), query.agreed - now)
@@ -659,20 +634,24 @@
                 ready.remove(chosen)
         return best, soonest
 
+    def group_canary(self, now: int) -> Upstream | None:
+        """The upstream of the zone in question that gets the group's canary, if one is due."""
+        if self.group.canary_zone is None or self.group.canary_sent:
+            return None
+        zone = self.known.zones[self.group.canary_zone]
+        chosen = self.pick.choose(now, [k for k in zone if not k.probe_out and self.known.allows(now, k)])
+        self.group.canary_sent = chosen is not None
+        return chosen
+
     def canary_target(self, now: int, query: Query) -> Upstream | None:
         """Where probes are not allowed, a redoable query's first dispatch serves as the canary."""
         if self.permits.probes or query.effect != REDOABLE or query.sent:
             return None
-        group = self.group
-        if group.canary_zone is not None and not group.canary_sent:
-            listed = [k for k in self.known.zones[group.canary_zone] if self.known.allows(now, k)]
-            if (chosen := self.pick.choose(now, listed)) is not None:
-                group.canary_sent = True
-                return chosen
+        if (chosen := self.group_canary(now)) is not None:
+            return chosen
         for known in chain.from_iterable(self.known.zones):
-            if known.canary_due is not None and now >= known.canary_due and not known.canary_out:
-                if not self.known.allows(now, known):
-                    continue
+            due = known.canary_due is not None and now >= known.canary_due and not known.canary_out
+            if due and self.known.allows(now, known):
                 known.canary_out = True
                 return known
         return None
@@ -728,12 +707,8 @@
             self.said.append(("note", note))
         if not self.permits.probes:
             return
-        group = self.group
-        if group.canary_zone is not None and not group.canary_sent:
-            listed = [known for known in self.known.zones[group.canary_zone] if not known.probe_out]
-            if (chosen := self.pick.choose(now, listed)) is not None:
-                group.canary_sent = True
-                self.probe(now, chosen)
+        if (chosen := self.group_canary(now)) is not None:
+            self.probe(now, chosen)
         for known in chain.from_iterable(self.known.zones):
             due = known.probed_at + self.LOOK if known.canary_due is None else known.canary_due
             if now >= due and not known.probe_out:
@@ -744,9 +719,3 @@
         known.probe_out = True
         known.probed_at = now + int(self.LOOK * self.spread(-0.1, 0.1))
         self.said.append(("probe", known.entry.upstream))
-
-    def wake(self) -> Decision | None:
-        if self.waking:  # only ever one: each that fires asks for the next
-            return None
-        self.waking = True
-        return ("wake", self.TICK)
