--- a/maddercart/logic.py
+++ b/maddercart/logic.py
@@ -428,9 +428,9 @@
 
 class Balancer:
     PATIENCE = 0.25  # of the agreed time may pass with nothing out; the rest is needed for the answer
-    SURPLUS = 0.5  # of the shortest agreed time: home expected over it lets a query cross
-    LATE = 0.75  # of the shortest agreed time: expected over it everywhere, a query is turned away
-    YIELD = 0.1  # less of it for each better earning offering, which is left that much room
+    SURPLUS = 0.6  # of the shortest agreed time: home expected over it lets a query cross
+    LATE = 0.9  # of the shortest agreed time: expected over it everywhere, a query is turned away
+    YIELD = 0.15  # less of it for each better earning offering, which is left that much room
     OVER = 1.2  # times its share: the last hundred queries stray that far by chance alone
     UNHEARD = 0.25  # of the shortest agreed time: what an answer is taken to need before any was seen
     DRAWS = 3  # pairs drawn in a zone before the next is looked at: one odd pair is no full zone
