--- a/maddercart/logic.py
+++ b/maddercart/logic.py
@@ -25,8 +25,6 @@
     Offering, Permits, Place, Report,
 )  # fmt: skip
 
-# ---- Known upstreams: the list, drains, the cold budget
-
 
 class Upstream:
     """One upstream as this sidecar knows it: its line on the list and what came back from it."""
@@ -45,8 +43,7 @@
         self.failures = self.pauses = 0  # in a row; since it was last well
         self.probation = 0  # good answers still to come before a failure is borne again
         self.canary_due: int | None = None  # set while ejected
-        self.canary_out = self.probe_out = False
-        self.probed_at = 0
+        self.canary_out, self.probe_out, self.probed_at = False, False, 0
 
     def service(self) -> int:
         """What a query takes here with little waiting; 0 if unheard."""
@@ -78,12 +75,10 @@
     TYPICAL_HOLDS = 50 * MILLISECOND  # worked out once in a while: it moves slowly and costs a look at all
 
     def __init__(self, cold: ColdRule, sidecars: int, zones: int, unheard: int) -> None:
-        self.cold = cold
-        self.sidecars = sidecars
+        self.cold, self.sidecars = cold, sidecars
         self.by_id: dict[int, Upstream] = {}
         self.zones: list[list[Upstream]] = [[] for _ in range(zones)]  # those listed as ready
-        self.typical_was = self.unheard = unheard
-        self.typical_until = 0
+        self.typical_was, self.typical_until, self.unheard = unheard, 0, unheard
         self.sent_warm: list[deque[int]] = [deque(maxlen=32) for _ in range(zones)]  # 32: a steady rate
 
     def learn(self, entries: Sequence[Entry], whole: bool) -> None:
@@ -99,11 +94,8 @@
                     fresh.out = known.out
             else:
                 known.entry, known.size = entry, max(1.0, entry.size)
-        for zone in self.zones:
-            zone.clear()
-        for known in self.by_id.values():
-            if known.entry.condition == READY:
-                self.zones[known.entry.zone].append(known)
+        ready = [known for known in self.by_id.values() if known.entry.condition == READY]
+        self.zones = [[k for k in ready if k.entry.zone == zone] for zone in range(len(self.zones))]
 
     def typical(self, now: int) -> int:
         """What the middle upstream lately took for an answer; a guess while none is heard."""
@@ -139,8 +131,6 @@
             self.sent_warm[known.entry.zone].append(now)
 
 
-# ---- Server health and ejection
-
 
 class Health:
     """Judges each answer, ejects an upstream and lets it back after a canary."""
@@ -149,8 +139,7 @@
     GREY = 4  # failures among the last eight that eject as well: half, which chance alone seldom gives
     PROBATION = 8  # after a canary: guards against one that fails on part, whose canary had luck
     LAG = 4  # an answer this many times slower than the fleet's middle one is no success
-    CANARY_EVERY = SECOND // 2  # a crashed process takes seconds to come back; grows with each
-    CANARY_MOST = 4 * SECOND
+    CANARY_EVERY, CANARY_MOST = SECOND // 2, 4 * SECOND  # a crashed process takes seconds to come back
 
     def __init__(self, chance: Random) -> None:
         self.spread = chance.uniform
@@ -178,7 +167,6 @@
         known.canary_out = False
 
     def canary(self, now: int, known: Upstream, good: bool) -> None:
-        """What a canary to an ejected upstream brought."""
         if good and known.canary_due is not None:
             known.canary_due, known.canary_out, known.failures = None, False, 0
             known.probation = self.PROBATION
@@ -187,8 +175,6 @@
             self.postpone(now, known)
 
 
-# ---- The group state machine
-
 PRIMARY, FAILOVER, BACKUP, RECOVERY = "PRIMARY", "FAILOVER", "BACKUP", "RECOVERY"
 
 
@@ -198,15 +184,12 @@
     FAILURES = 6  # twice what ejects one upstream: no single one can bring the group down
     WITHIN = 3 * SECOND  # of the same order as the canaries' pauses: older failures are another story
     STRETCH = 2 * SECOND  # for sidecars with so little traffic that the count takes too long
-    RECOVER = SECOND  # small at first, so that a needless move is soon undone; grows by each entry
-    RECOVER_MOST = 8 * SECOND
+    RECOVER, RECOVER_MOST = SECOND, 8 * SECOND  # small at first: a needless move is soon undone
     CANARY_WAIT = SECOND  # a canary that could not be sent or said nothing goes on to the next backup
     RISE = 3 * SECOND  # the share of the primary after its return goes from none to all
 
     def __init__(self, place: Place, chance: Random) -> None:
-        self.spread = chance.uniform
-        self.draw = chance.random
-        self.own = place.zone
+        self.spread, self.draw = chance.uniform, chance.random
 
         def rank(zone: int) -> int:
             """A stable hash of our number and the zone, so that sidecars do not move as one herd."""
@@ -214,13 +197,11 @@
 
         others = [zone for zone in range(place.zones) if zone != place.zone]
         self.order = [place.zone, *sorted(others, key=rank)]
-        self.home = [place.zone]
-        self.state = PRIMARY
+        self.home, self.state = [place.zone], PRIMARY
         self.serving = place.zone  # the backup zone while in BACKUP or RECOVERY
         self.failed: deque[int] = deque(maxlen=self.FAILURES)  # times of the failures in a row
         self.entries = self.timer = 0
-        self.returned = -self.RISE
-        self.tried = 0  # how many backups this failover has asked
+        self.returned, self.tried = -self.RISE, 0  # tried: how many backups this failover has asked
         self.canary_zone: int | None = None
         self.canary_sent, self.canary_until = False, 0
 
@@ -272,7 +253,7 @@
             self.failed.clear()
             self.state = RECOVERY
         if self.state in (FAILOVER, RECOVERY) and self.canary_zone is None:
-            self.canary_zone = self.own if self.state == RECOVERY else backups[self.tried % len(backups)]
+            self.canary_zone = self.order[0] if self.state == RECOVERY else backups[self.tried % len(backups)]
             self.canary_sent, self.canary_until = False, now + self.CANARY_WAIT
         elif self.canary_zone is not None and now >= self.canary_until:
             self.canary(now, False)
@@ -299,8 +280,6 @@
         self.failed.clear()
 
 
-# ---- The pick
-
 
 class Pick:
     """Of two random ready upstreams, the one with less in flight from us plus reported."""
@@ -308,8 +287,7 @@
     AGE = 2 * SECOND  # a report counts in full when new and not at all from this age on
 
     def __init__(self, chance: Random) -> None:
-        self.sample = chance.sample
-        self.draw = chance.random
+        self.sample, self.draw = chance.sample, chance.random
 
     def load(self, now: int, known: Upstream) -> float | None:
         """What it holds; None if unheard."""
@@ -329,12 +307,7 @@
             mean = sum(heard) / len(heard) if heard else 0.0
             first = mean + len(one.out) if first is None else first
             second = mean + len(two.out) if second is None else second
-        if first == second:
-            return one if self.draw() < 0.5 else two
-        return one if first < second else two
-
-
-# ---- The query ledger: what may still be sent or said
+        return one if first < second or (first == second and self.draw() < 0.5) else two
 
 
 @dataclass(slots=True, eq=False)
@@ -358,13 +331,10 @@
     """Keeps the promises made with each offering."""
 
     def __init__(self, offerings: Sequence[Offering], dispatches: int, copies: bool) -> None:
-        self.offerings = offerings
-        self.dispatches = dispatches
-        self.copies = copies
+        self.offerings, self.dispatches, self.copies = offerings, dispatches, copies
         self.queries: dict[int, Query] = {}
 
     def may_send(self, now: int, query: Query) -> bool:
-        """Whether any upstream may get it at all."""
         if query.ended or query.streams or now >= query.stop or len(query.sent) >= self.dispatches:
             return False
         if query.out and (not self.copies or query.effect == IRREVERSIBLE):
@@ -382,9 +352,8 @@
         if query.effect != LABELLED or group not in (SAME_ZONE, SAME_CELL):
             return True
         ran = [query.sent[number][0].entry for number in chain(query.suspects, query.out)]
-        if group == SAME_ZONE:
-            return all(entry.zone == known.entry.zone for entry in ran)
-        return all(entry.cell == known.entry.cell for entry in ran)
+        where = "zone" if group == SAME_ZONE else "cell"
+        return all(getattr(entry, where) == getattr(known.entry, where) for entry in ran)
 
     def may_bounce(self, query: Query) -> bool:
         if query.effect == REDOABLE or not (query.out or query.suspects):
@@ -398,15 +367,12 @@
             self.queries.pop(query.number, None)
 
 
-# ---- Waiting lines
-
 
 class Lines:
     """Queries to be placed: first dispatches, then further ones."""
 
     def __init__(self) -> None:
-        self.first: dict[int, Query] = {}
-        self.further: dict[int, Query] = {}
+        self.first, self.further = dict[int, Query](), dict[int, Query]()
         self.scan: Iterator[Query] | None = None
 
     def add(self, query: Query) -> None:
@@ -417,14 +383,11 @@
         self.further.pop(query.number, None)
 
     def next(self) -> Query | None:
-        """Each waiting query once after each call that may have changed something."""
         if self.scan is None:
             self.scan = iter([*self.first.values(), *self.further.values()])
         return next(self.scan, None)
 
 
-# ---- The balancer
-
 
 class Balancer:
     PATIENCE = 0.25  # of the agreed time may pass with nothing out; the rest is needed for the answer
@@ -448,20 +411,14 @@
         self.spread = chance.uniform
         self.shortest = min((o.agreed for o in offerings), default=SECOND)
         self.known = KnownUpstreams(cold, place.sidecars, place.zones, int(self.shortest * self.UNHEARD))
-        self.health = Health(chance)
-        self.group = Group(place, chance)
-        self.pick = Pick(chance)
-        self.ledger = Ledger(offerings, permits.dispatches, permits.copies)
-        self.lines = Lines()
-        self.offerings = offerings
-        self.permits = permits
+        self.health, self.group, self.pick = Health(chance), Group(place, chance), Pick(chance)
+        self.ledger, self.lines = Ledger(offerings, permits.dispatches, permits.copies), Lines()
+        self.offerings, self.permits = offerings, permits
         self.said: deque[Decision] = deque()
         self.copies_due: deque[tuple[int, Query]] = deque()
         self.recent: deque[bool] = deque(maxlen=50)  # the last dispatches: whether it was a further one
-        self.follow_at = now if permits.follow else None
-        self.follow_failures = 0
-        self.waking = False
-        self.look_at = now
+        self.follow_at, self.follow_failures = now if permits.follow else None, 0
+        self.waking, self.look_at = False, now
         self.ranks = [sum(p.earnings > o.earnings for p in offerings) for o in offerings]
         self.shares = [customer.share for customer in customers]
         self.callers: deque[int] = deque(maxlen=100)  # customers of the last queries: a share in percent
@@ -510,8 +467,8 @@
                 self.lines.add(query)
 
     def started(self, now: int, number: int) -> None:
-        if (query := self.ledger.queries.get(number)) is not None:
-            query.streams = True
+        if number in self.ledger.queries:
+            self.ledger.queries[number].streams = True
 
     def left(self, now: int, number: int) -> None:
         if (query := self.ledger.queries.get(number)) is not None and not query.ended:
@@ -603,8 +560,7 @@
         return self.dispatch(now, query, chosen, expected, False)
 
     def room(self, query: Query) -> int:
-        """How long an answer may be expected to take: least for what earns least, and for a customer
-        that sends more than its share of the queries, so that the others find room."""
+        """How long an answer may take: less for what earns less and for customers over their share."""
         rank = self.ranks[query.offering]
         if query.customer < len(self.shares) and len(self.callers) == self.callers.maxlen:
             rank += self.callers.count(query.customer) > self.OVER * self.shares[query.customer] * 100
@@ -612,8 +568,7 @@
 
     def choose(self, now: int, query: Query, typical: int) -> tuple[Upstream | None, int]:
         """The pick in the first zone that can answer in time; else the soonest of the picks."""
-        best: Upstream | None = None
-        soonest = 0
+        best, soonest = None, 0
         enough = int(self.shortest * self.SURPLUS)
         tried = {where for where, _ in query.sent}
         for zone in self.group.zones(now):
@@ -683,14 +638,11 @@
 
     def answer(self, now: int, query: Query, after: int) -> Decision:
         """The final answer to a query that is given up on."""
-        number = query.number
-        if self.ledger.may_bounce(query):
-            after = min(max(after, 2 * self.TICK), self.permits.come_back)
-            decision: Decision = ("bounce", number, int(after * self.spread(0.75, 1.0)))
-        else:
-            decision = ("abort", number)
+        bounce = self.ledger.may_bounce(query)
+        after = min(max(after, 2 * self.TICK), self.permits.come_back)
         self.close(query)
-        return decision
+        wait = int(after * self.spread(0.75, 1.0))
+        return ("bounce", query.number, wait) if bounce else ("abort", query.number)
 
     def look(self, now: int) -> None:
         """The list, the group's state, canaries and probes."""
