--- a/maddercart/interface.py
+++ b/maddercart/interface.py
@@ -131,3 +131,4 @@
     probes: bool
     come_back: int
     follow: bool
+    crossing: float = 0.0  # what a dispatch to another zone costs, in earnings of a query
--- a/maddercart/logic.py
+++ b/maddercart/logic.py
@@ -391,9 +391,9 @@
 
 class Balancer:
     PATIENCE = 0.25  # of the agreed time may pass with nothing out; the rest is needed for the answer
-    SURPLUS = 0.6  # of the shortest agreed time: home expected over it lets a query cross
+    SURPLUS = 0.5  # of the shortest agreed time, more by a crossing's price: home over it lets a query cross
     LATE = 0.9  # of the shortest agreed time: expected over it everywhere, a query is turned away
-    YIELD = 0.15  # less of it for each better earning offering, which is left that much room
+    YIELD, LEAST = 0.15, 0.6  # less of it for each better earning offering, which is left that much room
     OVER = 1.2  # times its share: the last hundred queries stray that far by chance alone
     UNHEARD = 0.25  # of the shortest agreed time: what an answer is taken to need before any was seen
     DRAWS = 3  # pairs drawn in a zone before the next is looked at: one odd pair is no full zone
@@ -564,12 +564,12 @@
         rank = self.ranks[query.offering]
         if query.customer < len(self.shares) and len(self.callers) == self.callers.maxlen:
             rank += self.callers.count(query.customer) > self.OVER * self.shares[query.customer] * 100
-        return int(self.shortest * max(self.LATE - self.YIELD * rank, self.SURPLUS))
+        return int(self.shortest * max(self.LATE - self.YIELD * rank, self.LEAST))
 
     def choose(self, now: int, query: Query, typical: int) -> tuple[Upstream | None, int]:
         """The pick in the first zone that can answer in time; else the soonest of the picks."""
         best, soonest = None, 0
-        enough = int(self.shortest * self.SURPLUS)
+        enough = int(self.shortest * (self.SURPLUS + self.permits.crossing))
         tried = {where for where, _ in query.sent}
         for zone in self.group.zones(now):
             ready = [
--- a/maddercart/wirehost/settings.py
+++ b/maddercart/wirehost/settings.py
@@ -103,6 +103,7 @@
             cancel=s.flag("limits.cancel", False),
             probes=s.flag("limits.probing", False),
             come_back=come_back,
+            crossing=s.number("charges.cross_zone", 0.0),
             follow=s.pairs.get("discovery") == "ask",
         ),
     }
