--- a/maddercart/logic.py
+++ b/maddercart/logic.py
@@ -79,6 +79,7 @@
         self.by_id: dict[int, Upstream] = {}
         self.zones: list[list[Upstream]] = [[] for _ in range(zones)]  # those listed as ready
         self.typical_was, self.typical_until, self.unheard = unheard, 0, unheard
+        self.warm = [0.0] * zones
         self.sent_warm: list[deque[int]] = [deque(maxlen=32) for _ in range(zones)]  # 32: a steady rate
 
     def learn(self, entries: Sequence[Entry], whole: bool) -> None:
@@ -101,6 +102,8 @@
         """What the middle upstream lately took for an answer; a guess while none is heard."""
         if now >= self.typical_until:
             self.typical_until = now + self.TYPICAL_HOLDS
+            began = now - self.cold.ramp  # and by zone the size of all that are warm
+            self.warm = [sum(k.size for k in zone if k.entry.launched <= began) for zone in self.zones]
             heard = [k.samples[-1][1] for zone in self.zones for k in zone if k.samples]
             self.typical_was = int(median(heard)) if heard else self.unheard
         return self.typical_was
@@ -112,15 +115,15 @@
         age = now - known.entry.launched
         if known.entry.launched == 0 or age >= self.cold.ramp:
             return True
-        window, work = self.cold.window, known.service() or self.typical(now)
+        typical = self.typical(now)
+        window, work = self.cold.window, known.service() or typical
         while known.sent_cold and known.sent_cold[0][0] <= now - window:
             known.sent_cold.popleft()
         capacity = self.cold.start + (1 - self.cold.start) * max(0, age - window) / self.cold.ramp
-        warm = [k.size for k in self.zones[known.entry.zone] if now - k.entry.launched >= self.cold.ramp]
-        sent = self.sent_warm[known.entry.zone]
+        sent, warm = self.sent_warm[known.entry.zone], self.warm[known.entry.zone]
         cores = self.FLOOR / self.sidecars
         if warm and len(sent) == sent.maxlen:
-            cores += sent.maxlen * work / max(now - sent[0], window) * known.size / sum(warm)
+            cores += sent.maxlen * work / max(now - sent[0], window) * known.size / warm
         budget = self.cold.multiple * capacity * window * cores
         return sum(work for _, work in known.sent_cold) + work * self.HEAVY <= budget
 
