--- a/maddercart/logic.py
+++ b/maddercart/logic.py
@@ -54,9 +54,9 @@
         """How long one more query would take here, from the last few answers and those still owed."""
         out = len(self.out)
         if self.samples:
-            durations = sorted(duration for _, duration, _ in self.samples)
+            durations = sorted([duration for _, duration, _ in self.samples])
             service, base = durations[len(durations) // 4], durations[len(durations) // 2]
-            then = sum(then for _, _, then in self.samples) / len(durations)
+            then = sum([then for _, _, then in self.samples]) / len(durations)
             fade = max(0.0, 1 - (now - self.samples[-1][0]) / self.FRESH)
             estimate = service + fade * (base - service)
             # The others' loads move as ours does, each on its own: deviations add up by their root.
@@ -78,8 +78,7 @@
         self.cold, self.sidecars = cold, sidecars
         self.by_id: dict[int, Upstream] = {}
         self.zones: list[list[Upstream]] = [[] for _ in range(zones)]  # those listed as ready
-        self.typical_was, self.typical_until, self.unheard = unheard, 0, unheard
-        self.warm = [0.0] * zones
+        self.typical_was, self.typical_until, self.warm = unheard, 0, [0.0] * zones
         self.sent_warm: list[deque[int]] = [deque(maxlen=32) for _ in range(zones)]  # 32: a steady rate
 
     def learn(self, entries: Sequence[Entry], whole: bool) -> None:
@@ -102,10 +101,10 @@
         """What the middle upstream lately took for an answer; a guess while none is heard."""
         if now >= self.typical_until:
             self.typical_until = now + self.TYPICAL_HOLDS
-            began = now - self.cold.ramp  # and by zone the size of all that are warm
-            self.warm = [sum(k.size for k in zone if k.entry.launched <= began) for zone in self.zones]
+            ramp = self.cold.ramp  # and by zone the size of all that are warm
+            self.warm = [sum(k.size for k in zone if now - k.entry.launched >= ramp) for zone in self.zones]
             heard = [k.samples[-1][1] for zone in self.zones for k in zone if k.samples]
-            self.typical_was = int(median(heard)) if heard else self.unheard
+            self.typical_was = int(median(heard)) if heard else self.typical_was
         return self.typical_was
 
     def allows(self, now: int, known: Upstream) -> bool:
@@ -115,8 +114,7 @@
         age = now - known.entry.launched
         if known.entry.launched == 0 or age >= self.cold.ramp:
             return True
-        typical = self.typical(now)
-        window, work = self.cold.window, known.service() or typical
+        window, work = self.cold.window, known.service() or self.typical(now)
         while known.sent_cold and known.sent_cold[0][0] <= now - window:
             known.sent_cold.popleft()
         capacity = self.cold.start + (1 - self.cold.start) * max(0, age - window) / self.cold.ramp
@@ -290,10 +288,9 @@
     AGE = 2 * SECOND  # a report counts in full when new and not at all from this age on
 
     def __init__(self, chance: Random) -> None:
-        self.sample, self.draw = chance.sample, chance.random
+        self.draw = chance.random
 
     def load(self, now: int, known: Upstream) -> float | None:
-        """What it holds; None if unheard."""
         if known.report is None:
             return None if not known.samples else float(len(known.out))
         at, report = known.report
@@ -303,7 +300,8 @@
     def choose(self, now: int, ready: Sequence[Upstream]) -> Upstream | None:
         if len(ready) < 2:
             return ready[0] if ready else None
-        one, two = self.sample(ready, 2)
+        at = int(self.draw() * len(ready))
+        one, two = ready[at], ready[at - 1 - int(self.draw() * (len(ready) - 1))]
         first, second = self.load(now, one), self.load(now, two)
         if first is None or second is None:
             heard = [load for known in ready if (load := self.load(now, known)) is not None]
@@ -399,7 +397,7 @@
     YIELD, LEAST = 0.15, 0.6  # less of it for each better earning offering, which is left that much room
     OVER = 1.2  # times its share: the last hundred queries stray that far by chance alone
     UNHEARD = 0.25  # of the shortest agreed time: what an answer is taken to need before any was seen
-    DRAWS = 3  # pairs drawn in a zone before the next is looked at: one odd pair is no full zone
+    DRAWS = 3  # pairs drawn at home before a further zone is looked at: one odd pair is no full zone
     HURRY = 6  # a dispatch is out for this many times the expected answer before another may follow
     FURTHER = 0.2  # further dispatches after doubt, at most this share of the last ones: no storms
     LOOK = SECOND  # each upstream is probed about this often where only probes bring reports
@@ -580,7 +578,7 @@
                 if known.canary_due is None and self.known.allows(now, known)
                 and (not tried or (known not in tried and self.ledger.may_go_to(query, known)))
             ]  # fmt: skip
-            for _ in range(self.DRAWS):
+            for _ in range(self.DRAWS if zone in self.group.home else 1):
                 chosen = self.pick.choose(now, ready)
                 if chosen is None:
                     break
