--- a/maddercart/logic.py
+++ b/maddercart/logic.py
@@ -397,7 +397,7 @@
     YIELD, LEAST = 0.15, 0.6  # less of it for each better earning offering, which is left that much room
     OVER = 1.2  # times its share: the last hundred queries stray that far by chance alone
     UNHEARD = 0.25  # of the shortest agreed time: what an answer is taken to need before any was seen
-    DRAWS = 3  # pairs drawn at home before a further zone is looked at: one odd pair is no full zone
+    DRAWS = 3  # pairs drawn in each of the first two zones: one odd pair is no full zone
     HURRY = 6  # a dispatch is out for this many times the expected answer before another may follow
     FURTHER = 0.2  # further dispatches after doubt, at most this share of the last ones: no storms
     LOOK = SECOND  # each upstream is probed about this often where only probes bring reports
@@ -572,13 +572,13 @@
         best, soonest = None, 0
         enough = int(self.shortest * (self.SURPLUS + self.permits.crossing))
         tried = {where for where, _ in query.sent}
-        for zone in self.group.zones(now):
+        for place, zone in enumerate(self.group.zones(now)):
             ready = [
                 known for known in self.known.zones[zone]
                 if known.canary_due is None and self.known.allows(now, known)
                 and (not tried or (known not in tried and self.ledger.may_go_to(query, known)))
             ]  # fmt: skip
-            for _ in range(self.DRAWS if zone in self.group.home else 1):
+            for _ in range(self.DRAWS if place < 2 else 1):
                 chosen = self.pick.choose(now, ready)
                 if chosen is None:
                     break
@@ -646,7 +646,6 @@
         return ("bounce", query.number, wait) if bounce else ("abort", query.number)
 
     def look(self, now: int) -> None:
-        """The list, the group's state, canaries and probes."""
         if self.follow_at is not None and now >= self.follow_at:
             self.follow_at = None
             self.said.append(("follow",))
