--- a/maddercart/logic.py
+++ b/maddercart/logic.py
@@ -13,11 +13,11 @@
 """
 
 from collections import deque
-from collections.abc import Iterator, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass, field
+from heapq import heappop, heappush
 from itertools import chain
 from random import Random
-from statistics import median
 
 from maddercart.interface import (
     CANCELLED, DONE, FULL, GONE, IRREVERSIBLE, LABELLED, MILLISECOND, MOOT, NEVER_RAN, READY, REDOABLE,
@@ -37,13 +37,13 @@
         self.size = max(1.0, entry.size)
         self.out: dict[tuple[int, int], tuple[int, int]] = {}  # dispatch: when sent, how many were out
         self.samples: deque[tuple[int, int, int]] = deque(maxlen=self.SAMPLES)  # end, duration, out then
-        self.sent_cold: deque[tuple[int, int]] = deque()  # when, how much work
+        self.sent_cold: deque[int] = deque()  # when it was sent each of the last queries while cold
         self.report: tuple[int, Report] | None = None  # when heard
         self.outcomes: deque[bool] = deque(maxlen=self.SAMPLES)
         self.failures = self.pauses = 0  # in a row; since it was last well
         self.probation = 0  # good answers still to come before a failure is borne again
         self.canary_due: int | None = None  # set while ejected
-        self.canary_out, self.probe_out, self.probed_at = False, False, 0
+        self.canary_out, self.probe_out = False, False
 
     def service(self) -> int:
         """What a query takes here with little waiting; 0 if unheard."""
@@ -67,19 +67,24 @@
         return int(max(estimate, now - next(iter(self.out.values()))[0] if self.out else 0))
 
 
+def mix(one: int, two: int) -> int:
+    """A stable hash of two numbers, the same at every sidecar."""
+    mixed = (one * 0x9E3779B1 + two * 0x85EBCA6B + 0x27D4EB2F) & 0xFFFFFFFF
+    mixed = (mixed ^ (mixed >> 15)) * 0x2C1B3C6D & 0xFFFFFFFF
+    mixed = (mixed ^ (mixed >> 12)) * 0x297A2D39 & 0xFFFFFFFF
+    return mixed ^ (mixed >> 15)
+
+
 class KnownUpstreams:
     """The list as it was told, by zone, and what each upstream may still be sent."""
 
     HEAVY = 1.5  # a query may be heavier than the middle one: a margin of half keeps a sum of few inside
-    FLOOR = 0.5  # cores that every upstream has at least, halved: the other half covers what warm ones get
-    TYPICAL_HOLDS = 50 * MILLISECOND  # worked out once in a while: it moves slowly and costs a look at all
 
-    def __init__(self, cold: ColdRule, sidecars: int, zones: int, unheard: int) -> None:
-        self.cold, self.sidecars = cold, sidecars
+    def __init__(self, cold: ColdRule, place: Place, unheard: int) -> None:
+        self.cold, self.number, self.sidecars = cold, place.number, place.sidecars
         self.by_id: dict[int, Upstream] = {}
-        self.zones: list[list[Upstream]] = [[] for _ in range(zones)]  # those listed as ready
-        self.typical_was, self.typical_until, self.warm = unheard, 0, [0.0] * zones
-        self.sent_warm: list[deque[int]] = [deque(maxlen=32) for _ in range(zones)]  # 32: a steady rate
+        self.zones: list[list[Upstream]] = [[] for _ in range(place.zones)]  # those listed as ready
+        self.durations: deque[int] = deque([unheard], maxlen=32)  # of the last answers; first a guess
 
     def learn(self, entries: Sequence[Entry], whole: bool) -> None:
         """An upstream that drains or is gone leaves its zone at once: no use is made of the grace."""
@@ -97,40 +102,30 @@
         ready = [known for known in self.by_id.values() if known.entry.condition == READY]
         self.zones = [[k for k in ready if k.entry.zone == zone] for zone in range(len(self.zones))]
 
-    def typical(self, now: int) -> int:
-        """What the middle upstream lately took for an answer; a guess while none is heard."""
-        if now >= self.typical_until:
-            self.typical_until = now + self.TYPICAL_HOLDS
-            ramp = self.cold.ramp  # and by zone the size of all that are warm
-            self.warm = [sum(k.size for k in zone if now - k.entry.launched >= ramp) for zone in self.zones]
-            heard = [k.samples[-1][1] for zone in self.zones for k in zone if k.samples]
-            self.typical_was = int(median(heard)) if heard else self.typical_was
-        return self.typical_was
+    def typical(self) -> int:
+        """What the middle one of the last answers took."""
+        return sorted(self.durations)[len(self.durations) // 2]
 
     def allows(self, now: int, known: Upstream) -> bool:
-        """Guards against all sidecars together pushing a cold one over, with no word between them. Our
-        part is what we send to a warm one beside it, which carries all sidecars' parts, and an equal share
-        of half a core; both at the lowest capacity that the settings permit for its age."""
-        age = now - known.entry.launched
-        if known.entry.launched == 0 or age >= self.cold.ramp:
+        """Guards against all sidecars together pushing a cold one over, with no word between them. What it
+        can take over a window, by the lowest capacity that the settings permit for its age, is dealt out
+        in whole queries along the ring of sidecars, from a hash of its id on: whoever carries the most
+        traffic, the parts add up to no more. All of us that are told of its start know its age."""
+        launched = known.entry.launched
+        if launched == 0 or now - launched >= self.cold.ramp:
             return True
-        window, work = self.cold.window, known.service() or self.typical(now)
-        while known.sent_cold and known.sent_cold[0][0] <= now - window:
-            known.sent_cold.popleft()
-        capacity = self.cold.start + (1 - self.cold.start) * max(0, age - window) / self.cold.ramp
-        sent, warm = self.sent_warm[known.entry.zone], self.warm[known.entry.zone]
-        cores = self.FLOOR / self.sidecars
-        if warm and len(sent) == sent.maxlen:
-            cores += sent.maxlen * work / max(now - sent[0], window) * known.size / warm
-        budget = self.cold.multiple * capacity * window * cores
-        return sum(work for _, work in known.sent_cold) + work * self.HEAVY <= budget
+        window, sent = self.cold.window, known.sent_cold
+        age = max(0, now - launched - window)
+        capacity = (self.cold.start + (1 - self.cold.start) * age / self.cold.ramp) * known.size
+        queries = int(self.cold.multiple * capacity * window / (self.typical() * self.HEAVY))
+        place = (self.number - mix(known.entry.upstream, 0)) % self.sidecars
+        while sent and sent[0] <= now - window:
+            sent.popleft()
+        return len(sent) < queries // self.sidecars + (place < queries % self.sidecars)
 
     def charge(self, now: int, known: Upstream) -> None:
         if known.entry.launched and now - known.entry.launched < self.cold.ramp:
-            known.sent_cold.append((now, int((known.service() or self.typical(now)) * self.HEAVY)))
-        else:
-            self.sent_warm[known.entry.zone].append(now)
-
+            known.sent_cold.append(now)
 
 
 class Health:
@@ -144,6 +139,7 @@
 
     def __init__(self, chance: Random) -> None:
         self.spread = chance.uniform
+        self.ejected: dict[int, Upstream] = {}
 
     def judge(self, now: int, known: Upstream, good: bool, wrong: bool) -> bool:
         """Counts one answer of a query or a canary; True if it ejects the upstream."""
@@ -166,9 +162,11 @@
         pause = min(self.CANARY_EVERY * known.pauses, self.CANARY_MOST)
         known.canary_due = now + int(pause * self.spread(0.8, 1.2))
         known.canary_out = False
+        self.ejected[known.entry.upstream] = known
 
     def canary(self, now: int, known: Upstream, good: bool) -> None:
         if good and known.canary_due is not None:
+            self.ejected.pop(known.entry.upstream, None)
             known.canary_due, known.canary_out, known.failures = None, False, 0
             known.probation = self.PROBATION
             known.outcomes.clear()
@@ -184,7 +182,8 @@
 
     FAILURES = 6  # twice what ejects one upstream: no single one can bring the group down
     WITHIN = 3 * SECOND  # of the same order as the canaries' pauses: older failures are another story
-    STRETCH = 2 * SECOND  # for sidecars with so little traffic that the count takes too long
+    STRETCH = 2 * SECOND  # for little traffic, where the count takes too long; two failures at least: one
+    # failure and then silence is no evidence
     RECOVER, RECOVER_MOST = SECOND, 8 * SECOND  # small at first: a needless move is soon undone
     CANARY_WAIT = SECOND  # a canary that could not be sent or said nothing goes on to the next backup
     RISE = 3 * SECOND  # the share of the primary after its return goes from none to all
@@ -192,12 +191,8 @@
     def __init__(self, place: Place, chance: Random) -> None:
         self.spread, self.draw = chance.uniform, chance.random
 
-        def rank(zone: int) -> int:
-            """A stable hash of our number and the zone, so that sidecars do not move as one herd."""
-            return ((place.number + 1) * 0x9E3779B1 + (zone + 1) * 0x85EBCA6B) * 0xC2B2AE35 % 2**32
-
         others = [zone for zone in range(place.zones) if zone != place.zone]
-        self.order = [place.zone, *sorted(others, key=rank)]
+        self.order = [place.zone, *sorted(others, key=lambda zone: mix(place.number, zone))]
         self.home, self.state = [place.zone], PRIMARY
         self.serving = place.zone  # the backup zone while in BACKUP or RECOVERY
         self.failed: deque[int] = deque(maxlen=self.FAILURES)  # times of the failures in a row
@@ -241,7 +236,7 @@
         before = self.state
         failing = bool(self.failed) and (
             (len(self.failed) == self.FAILURES and now - self.failed[0] <= self.WITHIN)
-            or now - self.failed[0] >= self.STRETCH
+            or (len(self.failed) > 1 and now - self.failed[0] >= self.STRETCH)
         )
         backups = [zone for zone in self.order if zone not in self.home]
         if self.state == PRIMARY and failing and backups:
@@ -260,6 +255,15 @@
             self.canary(now, False)
         return f"{before} to {self.state}" if self.state != before else None
 
+    def due(self, now: int) -> int | None:
+        """When there is something to step to, if nothing comes in before."""
+        if self.canary_zone is not None:
+            return self.canary_until
+        if self.state in (BACKUP, RECOVERY):
+            return self.timer
+        stretched = self.failed[0] + self.STRETCH if len(self.failed) > 1 else 0
+        return stretched if stretched > now else None
+
     def canary(self, now: int, good: bool) -> None:
         zone, self.canary_zone = self.canary_zone, None
         if zone is None:
@@ -370,23 +374,28 @@
 
 
 class Lines:
-    """Queries to be placed: first dispatches, then further ones."""
+    """Queries to be placed: first dispatches, then further ones; those that found no place wait apart."""
 
     def __init__(self) -> None:
-        self.first, self.further = dict[int, Query](), dict[int, Query]()
-        self.scan: Iterator[Query] | None = None
+        self.first, self.further, self.waiting = dict[int, Query](), dict[int, Query](), dict[int, Query]()
 
     def add(self, query: Query) -> None:
         (self.further if query.sent else self.first)[query.number] = query
 
     def drop(self, query: Query) -> None:
+        self.waiting.pop(query.number, None)
         self.first.pop(query.number, None)
         self.further.pop(query.number, None)
 
     def next(self) -> Query | None:
-        if self.scan is None:
-            self.scan = iter([*self.first.values(), *self.further.values()])
-        return next(self.scan, None)
+        line = self.first or self.further
+        return line.pop(next(iter(line))) if line else None
+
+    def stir(self) -> None:
+        """What can be sent may have changed: those that wait are looked at again."""
+        for query in self.waiting.values():
+            self.add(query)
+        self.waiting.clear()
 
 
 
@@ -400,9 +409,11 @@
     DRAWS = 3  # pairs drawn in each of the first two zones: one odd pair is no full zone
     HURRY = 6  # a dispatch is out for this many times the expected answer before another may follow
     FURTHER = 0.2  # further dispatches after doubt, at most this share of the last ones: no storms
-    LOOK = SECOND  # each upstream is probed about this often where only probes bring reports
+    PROBE_EVERY = 4  # queries for each probe that only brings a report: its price and work stay a fraction
+    LOOK = SECOND  # a report younger than this is not asked for again
     FOLLOW_FIRST, FOLLOW_MOST = SECOND // 2, 8 * SECOND  # pauses after failed calls to the list
-    TICK = 20 * MILLISECOND  # how soon waiting queries, timers and canaries are looked at again
+    NEVER = 1 << 62  # later than any clock
+    TICK = 20 * MILLISECOND  # how soon waiting queries are looked at again
 
     def __init__(
         self, now: int, seed: int, place: Place, offerings: Sequence[Offering],
@@ -411,15 +422,16 @@
         chance = Random(seed)
         self.spread = chance.uniform
         self.shortest = min((o.agreed for o in offerings), default=SECOND)
-        self.known = KnownUpstreams(cold, place.sidecars, place.zones, int(self.shortest * self.UNHEARD))
+        self.known = KnownUpstreams(cold, place, int(self.shortest * self.UNHEARD))
         self.health, self.group, self.pick = Health(chance), Group(place, chance), Pick(chance)
         self.ledger, self.lines = Ledger(offerings, permits.dispatches, permits.copies), Lines()
         self.offerings, self.permits = offerings, permits
         self.said: deque[Decision] = deque()
-        self.copies_due: deque[tuple[int, Query]] = deque()
+        self.due: list[tuple[int, int]] = []  # a heap: when to look again, at which overdue query (-1: none)
+        self.wake_at, self.unprobed = self.NEVER, 0
         self.recent: deque[bool] = deque(maxlen=50)  # the last dispatches: whether it was a further one
         self.follow_at, self.follow_failures = now if permits.follow else None, 0
-        self.waking, self.look_at = False, now
+        heappush(self.due, (now, -1))
         self.ranks = [sum(p.earnings > o.earnings for p in offerings) for o in offerings]
         self.shares = [customer.share for customer in customers]
         self.callers: deque[int] = deque(maxlen=100)  # customers of the last queries: a share in percent
@@ -428,13 +440,17 @@
 
     def learn(self, now: int, entries: Sequence[Entry], whole: bool) -> None:
         self.known.learn(entries, whole)
+        by_id, ejected = self.known.by_id, self.health.ejected
+        self.health.ejected = {n: known for n, known in ejected.items() if by_id[n] is known}
         self.group.lay(self.known.zones)
         self.follow_failures = 0
+        self.lines.stir()
 
     def list_failed(self, now: int) -> None:
         pause = min(self.FOLLOW_FIRST << min(self.follow_failures, 5), self.FOLLOW_MOST)
         self.follow_failures += 1
         self.follow_at = now + int(pause * self.spread(0.5, 1.5))
+        heappush(self.due, (self.follow_at, -1))
 
     def take(self, now: int, number: int, offering: int, customer: int, remaining: int, key: int) -> None:
         terms = self.offerings[offering]
@@ -443,6 +459,7 @@
         self.ledger.queries[number] = query
         self.callers.append(customer)
         self.lines.add(query)
+        self.unprobed += 1
 
     def outcome(
         self, now: int, number: int, upstream: int, shot: int, duration: int, outcome: int, ended: bool,
@@ -484,7 +501,8 @@
         self.canary_back(now, known, ok and not self.lags(now, duration))
 
     def woken(self, now: int) -> None:
-        self.waking, self.look_at = False, now
+        if now >= self.wake_at - MILLISECOND:  # else an earlier timer has taken this one's place
+            self.wake_at = self.NEVER
 
     # -- bookkeeping
 
@@ -495,23 +513,29 @@
         good = timed and not self.lags(now, duration)  # a time-out as long as others' answers is no failure
         if timed:
             known.samples.append((now, duration, then))
+            self.known.durations.append(duration)
         if canary:
             self.canary_back(now, known, good)
             return
         if self.health.judge(now, known, good, not timed):
             self.said.append(("note", f"ejected {known.entry.upstream}"))
+            heappush(self.due, (known.canary_due or now, -1))
         if outcome in (DONE, UNREACHABLE, RESET, TIMED_OUT):
             self.group.heard(now, known.entry.zone, outcome == DONE)
+            if outcome != DONE:
+                heappush(self.due, (now, -1))
 
     def canary_back(self, now: int, known: Upstream, good: bool) -> None:
         if known.canary_out:
             self.health.canary(now, known, good)
+            heappush(self.due, (known.canary_due or now, -1))
         if self.group.canary_sent and known.entry.zone == self.group.canary_zone:
             self.group.canary(now, good)
+            heappush(self.due, (now, -1))
 
     def lags(self, now: int, duration: int) -> bool:
         """Guards against upstreams many times slower than the rest, which never quite fail."""
-        return duration >= max(self.health.LAG * self.known.typical(now), self.shortest // 2)
+        return duration >= max(self.health.LAG * self.known.typical(), self.shortest // 2)
 
     def close(self, query: Query) -> None:
         """The query has its final answer; what is still out is worth nothing to anyone."""
@@ -523,18 +547,24 @@
     # -- decisions out
 
     def decide(self, now: int) -> Decision | None:
-        if now >= self.look_at:
-            self.look_at = now + self.TICK // 2
+        if self.due and self.due[0][0] <= now:
             self.look(now)
+        if self.unprobed >= self.PROBE_EVERY and self.permits.probes:
+            self.report_probe(now)
         if self.said:
             return self.said.popleft()
         while (query := self.lines.next()) is not None:
-            if not query.ended and (decision := self.place(now, query)) is not None:
+            if query.ended:
+                continue
+            if (decision := self.place(now, query)) is not None:
                 return decision
-        if not self.waking:  # only ever one: each that fires asks for the next
-            self.waking = True
-            return ("wake", self.TICK)
-        self.lines.scan = None  # the next call may change what can be sent: all are looked at again
+            if not query.out:
+                if not self.lines.waiting:
+                    heappush(self.due, (now + self.TICK, -1))
+                self.lines.waiting[query.number] = query
+        if self.due and self.due[0][0] < self.wake_at:
+            self.wake_at = self.due[0][0]
+            return ("wake", self.wake_at - now)
         return None
 
     def place(self, now: int, query: Query) -> Decision | None:
@@ -545,7 +575,7 @@
         if doubtful and self.recent.count(True) >= self.FURTHER * len(self.recent):
             self.lines.drop(query)
             return None if query.out else self.answer(now, query, 0)
-        typical = self.known.typical(now)
+        typical = self.known.typical()
         if (canary := self.canary_target(now, query)) is not None:
             return self.dispatch(now, query, canary, typical, True)
         chosen, expected = self.choose(now, query, typical)
@@ -605,9 +635,8 @@
             return None
         if (chosen := self.group_canary(now)) is not None:
             return chosen
-        for known in chain.from_iterable(self.known.zones):
-            due = known.canary_due is not None and now >= known.canary_due and not known.canary_out
-            if due and self.known.allows(now, known):
+        for known in self.health.ejected.values():
+            if self.canary_is_due(now, known):
                 known.canary_out = True
                 return known
         return None
@@ -622,10 +651,9 @@
         query.sent.append((known, now))
         query.out.add(shot)
         self.lines.drop(query)
-        self.lines.scan = None
         patience = self.patience(now, query, expected)
         if patience and self.permits.copies:
-            self.copies_due.append((now + patience, query))
+            heappush(self.due, (now + patience, query.number))
             patience = 0
         return ("dispatch", query.number, known.entry.upstream, patience or query.stop - now)
 
@@ -635,7 +663,7 @@
             return 0
         left = query.agreed - now
         patient = max(self.HURRY * expected, left // 2)
-        return patient if patient <= left - self.known.typical(now) else 0
+        return patient if patient <= left - self.known.typical() else 0
 
     def answer(self, now: int, query: Query, after: int) -> Decision:
         """The final answer to a query that is given up on."""
@@ -646,28 +674,43 @@
         return ("bounce", query.number, wait) if bounce else ("abort", query.number)
 
     def look(self, now: int) -> None:
+        while self.due and self.due[0][0] <= now:
+            query = self.ledger.queries.get(heappop(self.due)[1])
+            if query is not None and query.out and not query.ended:
+                self.lines.add(query)
+        self.lines.stir()
         if self.follow_at is not None and now >= self.follow_at:
             self.follow_at = None
             self.said.append(("follow",))
-        for _ in range(len(self.copies_due)):
-            due, query = self.copies_due.popleft()
-            if now < due:
-                self.copies_due.append((due, query))
-            elif query.out and not query.ended:
-                self.lines.add(query)
         if (note := self.group.step(now)) is not None:
             self.said.append(("note", note))
+        if (due := self.group.due(now)) is not None:
+            heappush(self.due, (max(due, now + self.TICK), -1))
         if not self.permits.probes:
             return
         if (chosen := self.group_canary(now)) is not None:
             self.probe(now, chosen)
-        for known in chain.from_iterable(self.known.zones):
-            due = known.probed_at + self.LOOK if known.canary_due is None else known.canary_due
-            if now >= due and not known.probe_out:
-                known.canary_out = known.canary_due is not None
+        for known in self.health.ejected.values():
+            if self.canary_is_due(now, known):
+                known.canary_out = True
+                self.probe(now, known)
+            elif not known.canary_out:
+                heappush(self.due, (max(known.canary_due or 0, now + self.health.CANARY_EVERY), -1))
+
+    def canary_is_due(self, now: int, known: Upstream) -> bool:
+        due = known.canary_due is not None and now >= known.canary_due and not known.canary_out
+        ready = known.entry.condition == READY and not known.probe_out
+        return due and ready and self.known.allows(now, known)
+
+    def report_probe(self, now: int) -> None:
+        """One probe for some queries, to an upstream of the first zone whose report is old or missing."""
+        self.unprobed = 0
+        if ready := self.known.zones[self.group.zones(now)[0]]:
+            known = ready[int(self.group.draw() * len(ready))]
+            old = known.report is None or now - known.report[0] >= self.LOOK
+            if old and known.canary_due is None and not known.probe_out:
                 self.probe(now, known)
 
     def probe(self, now: int, known: Upstream) -> None:
         known.probe_out = True
-        known.probed_at = now + int(self.LOOK * self.spread(-0.1, 0.1))
         self.said.append(("probe", known.entry.upstream))
