--- a/maddercart/interface.py
+++ b/maddercart/interface.py
@@ -132,3 +132,4 @@
     come_back: int
     follow: bool
     crossing: float = 0.0  # what a dispatch to another zone costs, in earnings of a query
+    warm_keys: bool = False  # an upstream that lately met a query's key does less work for it
--- a/maddercart/logic.py
+++ b/maddercart/logic.py
@@ -33,7 +33,7 @@
     FRESH = 3 * SECOND  # older samples tell of another load; about the time that a queue takes to turn
 
     def __init__(self, entry: Entry) -> None:
-        self.entry = entry
+        self.entry, self.salt = entry, mix(entry.upstream, 1)
         self.size = max(1.0, entry.size)
         self.out: dict[tuple[int, int], tuple[int, int]] = {}  # dispatch: when sent, how many were out
         self.samples: deque[tuple[int, int, int]] = deque(maxlen=self.SAMPLES)  # end, duration, out then
@@ -301,10 +301,14 @@
         weight = max(0.0, 1 - (now - at) / self.AGE)
         return len(known.out) + weight * max(report.held, report.waiting, 0.0)
 
-    def choose(self, now: int, ready: Sequence[Upstream]) -> Upstream | None:
+    def choose(self, now: int, ready: Sequence[Upstream], key: int = 0) -> Upstream | None:
+        """With a key, one of the two is the first in a hash order of the key, the same for all sidecars, and
+        wins ties: it met the key lately, if anyone did."""
         if len(ready) < 2:
             return ready[0] if ready else None
         at = int(self.draw() * len(ready))
+        if key:
+            at = max(range(len(ready)), key=[(key ^ k.salt) * 0x9E3779B1 & 0xFFFFFFFF for k in ready].__getitem__)
         one, two = ready[at], ready[at - 1 - int(self.draw() * (len(ready) - 1))]
         first, second = self.load(now, one), self.load(now, two)
         if first is None or second is None:
@@ -312,7 +316,7 @@
             mean = sum(heard) / len(heard) if heard else 0.0
             first = mean + len(one.out) if first is None else first
             second = mean + len(two.out) if second is None else second
-        return one if first < second or (first == second and self.draw() < 0.5) else two
+        return one if first < second or (first == second and (key or self.draw() < 0.5)) else two
 
 
 @dataclass(slots=True, eq=False)
@@ -324,6 +328,7 @@
     stop: int  # after this time nothing may be said
     agreed: int
     waits_since: int
+    key: int  # 0: none, or of no use here
     sent: list[tuple[Upstream, int]] = field(default_factory=list)  # each dispatch: where and when
     out: set[int] = field(default_factory=set)  # numbers of the dispatches without an outcome
     suspects: set[int] = field(default_factory=set)  # those that ended and may have run
@@ -455,7 +460,8 @@
     def take(self, now: int, number: int, offering: int, customer: int, remaining: int, key: int) -> None:
         terms = self.offerings[offering]
         agreed = now + min(remaining, terms.agreed)
-        query = Query(number, offering, customer, terms.effect, now + remaining, agreed, now)
+        key = mix(key & 0xFFFFFFFF, key >> 32) if key and self.permits.warm_keys else 0
+        query = Query(number, offering, customer, terms.effect, now + remaining, agreed, now, key)
         self.ledger.queries[number] = query
         self.callers.append(customer)
         self.lines.add(query)
@@ -608,8 +614,8 @@
                 if known.canary_due is None and self.known.allows(now, known)
                 and (not tried or (known not in tried and self.ledger.may_go_to(query, known)))
             ]  # fmt: skip
-            for _ in range(self.DRAWS if place < 2 else 1):
-                chosen = self.pick.choose(now, ready)
+            for draw in range(self.DRAWS if place < 2 else 1):
+                chosen = self.pick.choose(now, ready, 0 if draw or query.sent else query.key)
                 if chosen is None:
                     break
                 expected = chosen.expected(now, typical, self.known.sidecars)
