--- a/maddercart/logic.py
+++ b/maddercart/logic.py
@@ -50,20 +50,22 @@
         heard = sorted(duration for _, duration, _ in self.samples)
         return heard[len(heard) // 4] if heard else 0
 
-    def expected(self, now: int, typical: int, sidecars: int) -> int:
-        """How long one more query would take here, from the last few answers and those still owed."""
+    def expected(self, now: int, typical: int, wait: int) -> int:
+        """How long one more query would take here: from the last few answers while they are fresh and those
+        still owed, else with the wait that its zone has shown elsewhere."""
         out = len(self.out)
+        estimate = float(self.service() or typical)
+        fade = 0.0
         if self.samples:
             durations = sorted([duration for _, duration, _ in self.samples])
             service, base = durations[len(durations) // 4], durations[len(durations) // 2]
             then = sum([then for _, _, then in self.samples]) / len(durations)
             fade = max(0.0, 1 - (now - self.samples[-1][0]) / self.FRESH)
-            estimate = service + fade * (base - service)
-            # The others' loads move as ours does, each on its own: deviations add up by their root.
-            estimate += (out - then) * base / max(self.size, then + 1) * sidecars**0.5
+            estimate += fade * (base - service) + (out - then) * base / max(self.size, then + 1)
             estimate = max(estimate, service / 2)
         else:
-            estimate = typical * max(1.0, (out * sidecars + 1) / self.size)
+            estimate += max(0.0, (out + 1) / self.size - 1) * typical
+        estimate += (1 - fade) * wait
         return int(max(estimate, now - next(iter(self.out.values()))[0] if self.out else 0))
 
 
@@ -85,6 +87,7 @@
         self.by_id: dict[int, Upstream] = {}
         self.zones: list[list[Upstream]] = [[] for _ in range(place.zones)]  # those listed as ready
         self.durations: deque[int] = deque([unheard], maxlen=32)  # of the last answers; first a guess
+        self.waits: list[deque[tuple[int, int]]] = [deque(maxlen=16) for _ in self.zones]  # by zone: when, wait
 
     def learn(self, entries: Sequence[Entry], whole: bool) -> None:
         """An upstream that drains or is gone leaves its zone at once: no use is made of the grace."""
@@ -102,6 +105,17 @@
         ready = [known for known in self.by_id.values() if known.entry.condition == READY]
         self.zones = [[k for k in ready if k.entry.zone == zone] for zone in range(len(self.zones))]
 
+    def heard(self, now: int, known: Upstream, duration: int) -> None:
+        self.durations.append(duration)
+        self.waits[known.entry.zone].append((now, max(0, duration - (known.service() or self.typical()))))
+
+    def wait(self, now: int, zone: int, draw: float) -> int:
+        """One of the zone's last fresh waits by chance: many sidecars then yield in proportion, not in step."""
+        waits = self.waits[zone]
+        while waits and waits[0][0] < now - Upstream.FRESH:
+            waits.popleft()
+        return waits[int(draw * len(waits))][1] if waits else 0
+
     def typical(self) -> int:
         """What the middle one of the last answers took."""
         return sorted(self.durations)[len(self.durations) // 2]
@@ -519,7 +533,7 @@
         good = timed and not self.lags(now, duration)  # a time-out as long as others' answers is no failure
         if timed:
             known.samples.append((now, duration, then))
-            self.known.durations.append(duration)
+            self.known.heard(now, known, duration)
         if canary:
             self.canary_back(now, known, good)
             return
@@ -614,11 +628,12 @@
                 if known.canary_due is None and self.known.allows(now, known)
                 and (not tried or (known not in tried and self.ledger.may_go_to(query, known)))
             ]  # fmt: skip
+            wait = self.known.wait(now, zone, self.pick.draw())
             for draw in range(self.DRAWS if place < 2 else 1):
                 chosen = self.pick.choose(now, ready, 0 if draw or query.sent else query.key)
                 if chosen is None:
                     break
-                expected = chosen.expected(now, typical, self.known.sidecars)
+                expected = chosen.expected(now, typical, wait)
                 if expected <= enough:
                     return chosen, expected
                 if best is None or expected < soonest - self.shortest * (best.entry.zone != zone) // 4:
