--- a/maddercart/logic.py
+++ b/maddercart/logic.py
@@ -16,7 +16,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
-from itertools import chain
+from itertools import chain, islice
 from random import Random
 
 from maddercart.interface import (
@@ -87,7 +87,9 @@
         self.by_id: dict[int, Upstream] = {}
         self.zones: list[list[Upstream]] = [[] for _ in range(place.zones)]  # those listed as ready
         self.durations: deque[int] = deque([unheard], maxlen=32)  # of the last answers; first a guess
-        self.waits: list[deque[tuple[int, int]]] = [deque(maxlen=16) for _ in self.zones]  # by zone: when, wait
+        # By zone: the last waits and when they ended; when each dispatch was sent that is still out.
+        self.waits: list[deque[tuple[int, int]]] = [deque(maxlen=16) for _ in self.zones]
+        self.out: list[dict[tuple[int, int], int]] = [{} for _ in self.zones]
 
     def learn(self, entries: Sequence[Entry], whole: bool) -> None:
         """An upstream that drains or is gone leaves its zone at once: no use is made of the grace."""
@@ -109,12 +111,12 @@
         self.durations.append(duration)
         self.waits[known.entry.zone].append((now, max(0, duration - (known.service() or self.typical()))))
 
-    def wait(self, now: int, zone: int, draw: float) -> int:
-        """One of the zone's last fresh waits by chance: many sidecars then yield in proportion, not in step."""
-        waits = self.waits[zone]
-        while waits and waits[0][0] < now - Upstream.FRESH:
-            waits.popleft()
-        return waits[int(draw * len(waits))][1] if waits else 0
+    def wait(self, now: int, zone: int) -> int:
+        """The mean wait lately seen in a zone; a dispatch overdue there tells of it before its answer does."""
+        typical = self.typical()
+        waits = [wait for at, wait in self.waits[zone] if at > now - Upstream.FRESH]
+        waits += [now - sent - typical for sent in islice(self.out[zone].values(), 16) if now - sent > typical]
+        return sum(waits) // len(waits) if waits else 0
 
     def typical(self) -> int:
         """What the middle one of the last answers took."""
@@ -490,6 +492,7 @@
         canary = query is not None and shot in query.canaries
         if known is not None:
             sent = known.out.pop((number, shot), None)
+            self.known.out[known.entry.zone].pop((number, shot), None)
             if report is not None:
                 known.report = (now, report)
             if sent is not None and outcome != MOOT:
@@ -628,7 +631,7 @@
                 if known.canary_due is None and self.known.allows(now, known)
                 and (not tried or (known not in tried and self.ledger.may_go_to(query, known)))
             ]  # fmt: skip
-            wait = self.known.wait(now, zone, self.pick.draw())
+            wait = self.known.wait(now, zone)
             for draw in range(self.DRAWS if place < 2 else 1):
                 chosen = self.pick.choose(now, ready, 0 if draw or query.sent else query.key)
                 if chosen is None:
@@ -669,6 +672,7 @@
         self.recent.append(bool(query.suspects or query.out))
         self.known.charge(now, known)
         known.out[query.number, shot] = (now, len(known.out))
+        self.known.out[known.entry.zone][query.number, shot] = now
         query.sent.append((known, now))
         query.out.add(shot)
         self.lines.drop(query)
