--- a/maddercart/logic.py
+++ b/maddercart/logic.py
@@ -50,7 +50,7 @@
         heard = sorted(duration for _, duration, _ in self.samples)
         return heard[len(heard) // 4] if heard else 0
 
-    def expected(self, now: int, typical: int, wait: int) -> int:
+    def expected(self, now: int, typical: int, wait: int, growth: float) -> int:
         """How long one more query would take here: from the last few answers while they are fresh and those
         still owed, else with the wait that its zone has shown elsewhere."""
         out = len(self.out)
@@ -61,10 +61,10 @@
             service, base = durations[len(durations) // 4], durations[len(durations) // 2]
             then = sum([then for _, _, then in self.samples]) / len(durations)
             fade = max(0.0, 1 - (now - self.samples[-1][0]) / self.FRESH)
-            estimate += fade * (base - service) + (out - then) * base / max(self.size, then + 1)
+            estimate += fade * (base - service) + growth * (out - then) * base / max(self.size, then + 1)
             estimate = max(estimate, service / 2)
         else:
-            estimate += max(0.0, (out + 1) / self.size - 1) * typical
+            estimate += max(0.0, (growth * out + 1) / self.size - 1) * typical
         estimate += (1 - fade) * wait
         return int(max(estimate, now - next(iter(self.out.values()))[0] if self.out else 0))
 
@@ -447,6 +447,7 @@
         self.health, self.group, self.pick = Health(chance), Group(place, chance), Pick(chance)
         self.ledger, self.lines = Ledger(offerings, permits.dispatches, permits.copies), Lines()
         self.offerings, self.permits = offerings, permits
+        self.growth = min(place.sidecars, 8) ** 0.5
         self.said: deque[Decision] = deque()
         self.due: list[tuple[int, int]] = []  # a heap: when to look again, at which overdue query (-1: none)
         self.wake_at, self.unprobed = self.NEVER, 0
@@ -636,7 +637,7 @@
                 chosen = self.pick.choose(now, ready, 0 if draw or query.sent else query.key)
                 if chosen is None:
                     break
-                expected = chosen.expected(now, typical, wait)
+                expected = chosen.expected(now, typical, wait, self.growth)
                 if expected <= enough:
                     return chosen, expected
                 if best is None or expected < soonest - self.shortest * (best.entry.zone != zone) // 4:
