--- a/maddercart/logic.py
+++ b/maddercart/logic.py
@@ -30,6 +30,7 @@
     """One upstream as this sidecar knows it: its line on the list and what came back from it."""
 
     SAMPLES = 8  # enough for a median that one odd answer cannot move, few enough to follow a change
+    REPORT_FRESH = SECOND // 5
     FRESH = 3 * SECOND  # older samples tell of another load; about the time that a queue takes to turn
 
     def __init__(self, entry: Entry) -> None:
@@ -66,6 +67,8 @@
         else:
             estimate += max(0.0, (growth * out + 1) / self.size - 1) * typical
         estimate += (1 - fade) * wait
+        if self.report is not None and now - self.report[0] < self.REPORT_FRESH and self.report[1].held >= 0:
+            estimate = (self.service() or typical) * max(1.0, (self.report[1].held + 1) / self.size)
         return int(max(estimate, now - next(iter(self.out.values()))[0] if self.out else 0))
 
 
@@ -317,15 +320,22 @@
         weight = max(0.0, 1 - (now - at) / self.AGE)
         return len(known.out) + weight * max(report.held, report.waiting, 0.0)
 
-    def choose(self, now: int, ready: Sequence[Upstream], key: int = 0) -> Upstream | None:
-        """With a key, one of the two is the first in a hash order of the key, the same for all sidecars, and
-        wins ties: it met the key lately, if anyone did."""
+    def pair(self, ready: Sequence[Upstream], key: int = 0) -> list[Upstream]:
+        """Two at random; with a key, one is the first in a hash order of the key, the same for all sidecars:
+        it met the key lately, if anyone did."""
         if len(ready) < 2:
-            return ready[0] if ready else None
+            return list(ready)
         at = int(self.draw() * len(ready))
         if key:
-            at = max(range(len(ready)), key=[(key ^ k.salt) * 0x9E3779B1 & 0xFFFFFFFF for k in ready].__getitem__)
-        one, two = ready[at], ready[at - 1 - int(self.draw() * (len(ready) - 1))]
+            ranks = [(key ^ known.salt) * 0x9E3779B1 & 0xFFFFFFFF for known in ready]
+            at = ranks.index(max(ranks))
+        return [ready[at], ready[at - 1 - int(self.draw() * (len(ready) - 1))]]
+
+    def better(self, now: int, pair: Sequence[Upstream], ready: Sequence[Upstream], key: int = 0) -> Upstream:
+        """Ties go at random, or to the one that the key led to."""
+        if len(pair) < 2:
+            return pair[0]
+        one, two = pair
         first, second = self.load(now, one), self.load(now, two)
         if first is None or second is None:
             heard = [load for known in ready if (load := self.load(now, known)) is not None]
@@ -334,6 +344,9 @@
             second = mean + len(two.out) if second is None else second
         return one if first < second or (first == second and (key or self.draw() < 0.5)) else two
 
+    def choose(self, now: int, ready: Sequence[Upstream]) -> Upstream | None:
+        return self.better(now, self.pair(ready), ready) if ready else None
+
 
 @dataclass(slots=True, eq=False)
 class Query:
@@ -345,6 +358,8 @@
     agreed: int
     waits_since: int
     key: int  # 0: none, or of no use here
+    pair: list[Upstream] = field(default_factory=list)  # the candidates that were asked
+    asks_until: int = 0
     sent: list[tuple[Upstream, int]] = field(default_factory=list)  # each dispatch: where and when
     out: set[int] = field(default_factory=set)  # numbers of the dispatches without an outcome
     suspects: set[int] = field(default_factory=set)  # those that ended and may have run
@@ -430,8 +445,8 @@
     DRAWS = 3  # pairs drawn in each of the first two zones: one odd pair is no full zone
     HURRY = 6  # a dispatch is out for this many times the expected answer before another may follow
     FURTHER = 0.2  # further dispatches after doubt, at most this share of the last ones: no storms
-    PROBE_EVERY = 4  # queries for each probe that only brings a report: its price and work stay a fraction
-    LOOK = SECOND  # a report younger than this is not asked for again
+    LOOK = SECOND // 10  # a report younger than this is not asked for again
+    PROBE_WAIT = 30 * MILLISECOND
     FOLLOW_FIRST, FOLLOW_MOST = SECOND // 2, 8 * SECOND  # pauses after failed calls to the list
     NEVER = 1 << 62  # later than any clock
     TICK = 20 * MILLISECOND  # how soon waiting queries are looked at again
@@ -450,7 +465,7 @@
         self.growth = min(place.sidecars, 8) ** 0.5
         self.said: deque[Decision] = deque()
         self.due: list[tuple[int, int]] = []  # a heap: when to look again, at which overdue query (-1: none)
-        self.wake_at, self.unprobed = self.NEVER, 0
+        self.wake_at = self.NEVER
         self.recent: deque[bool] = deque(maxlen=50)  # the last dispatches: whether it was a further one
         self.follow_at, self.follow_failures = now if permits.follow else None, 0
         heappush(self.due, (now, -1))
@@ -482,7 +497,6 @@
         self.ledger.queries[number] = query
         self.callers.append(customer)
         self.lines.add(query)
-        self.unprobed += 1
 
     def outcome(
         self, now: int, number: int, upstream: int, shot: int, duration: int, outcome: int, ended: bool,
@@ -520,6 +534,7 @@
         if (known := self.known.by_id.get(upstream)) is None:
             return
         known.probe_out = False
+        self.lines.stir()
         if report is not None:
             known.report = (now, report)
         self.canary_back(now, known, ok and not self.lags(now, duration))
@@ -573,8 +588,6 @@
     def decide(self, now: int) -> Decision | None:
         if self.due and self.due[0][0] <= now:
             self.look(now)
-        if self.unprobed >= self.PROBE_EVERY and self.permits.probes:
-            self.report_probe(now)
         if self.said:
             return self.said.popleft()
         while (query := self.lines.next()) is not None:
@@ -582,6 +595,9 @@
                 continue
             if (decision := self.place(now, query)) is not None:
                 return decision
+            if self.said:
+                self.lines.waiting[query.number] = query
+                return self.said.popleft()
             if not query.out:
                 if not self.lines.waiting:
                     heappush(self.due, (now + self.TICK, -1))
@@ -599,6 +615,8 @@
         if doubtful and self.recent.count(True) >= self.FURTHER * len(self.recent):
             self.lines.drop(query)
             return None if query.out else self.answer(now, query, 0)
+        if now < query.asks_until and any(known.probe_out for known in query.pair):
+            return None
         typical = self.known.typical()
         if (canary := self.canary_target(now, query)) is not None:
             return self.dispatch(now, query, canary, typical, True)
@@ -607,6 +625,8 @@
         if query.out and (chosen is None or expected > limit):
             self.lines.drop(query)
             return None
+        if chosen is None and now < query.asks_until and any(known.probe_out for known in query.pair):
+            return None
         if chosen is None:
             waited = now - query.waits_since > self.PATIENCE * self.offerings[query.offering].agreed
             return self.answer(now, query, 0) if waited or query.stop - now < 2 * self.TICK else None
@@ -634,9 +654,15 @@
             ]  # fmt: skip
             wait = self.known.wait(now, zone)
             for draw in range(self.DRAWS if place < 2 else 1):
-                chosen = self.pick.choose(now, ready, 0 if draw or query.sent else query.key)
-                if chosen is None:
+                if not ready:
                     break
+                key = 0 if draw or place or query.sent else query.key
+                pair = self.pick.pair(ready, key)
+                if not place and not draw and query.pair:
+                    pair = [known for known in query.pair if known in ready] or pair
+                elif not place and not draw and self.asks(now, query, pair):
+                    return None, 0
+                chosen = self.pick.better(now, pair, ready, key)
                 expected = chosen.expected(now, typical, wait, self.growth)
                 if expected <= enough:
                     return chosen, expected
@@ -645,6 +671,19 @@
                 ready.remove(chosen)
         return best, soonest
 
+    def asks(self, now: int, query: Query, pair: list[Upstream]) -> bool:
+        """Has the two candidates probed, if their reports are old, and lets the query wait for that."""
+        if not self.permits.probes or query.sent:
+            return False
+        old = [k for k in pair if k.report is None or now - k.report[0] >= self.LOOK]
+        for known in old:
+            if not known.probe_out:
+                self.probe(now, known)
+        if old:
+            query.pair, query.asks_until = pair, now + self.PROBE_WAIT
+            heappush(self.due, (query.asks_until, -1))
+        return bool(old)
+
     def group_canary(self, now: int) -> Upstream | None:
         """The upstream of the zone in question that gets the group's canary, if one is due."""
         if self.group.canary_zone is None or self.group.canary_sent:
@@ -728,15 +767,6 @@
         ready = known.entry.condition == READY and not known.probe_out
         return due and ready and self.known.allows(now, known)
 
-    def report_probe(self, now: int) -> None:
-        """One probe for some queries, to an upstream of the first zone whose report is old or missing."""
-        self.unprobed = 0
-        if ready := self.known.zones[self.group.zones(now)[0]]:
-            known = ready[int(self.group.draw() * len(ready))]
-            old = known.report is None or now - known.report[0] >= self.LOOK
-            if old and known.canary_due is None and not known.probe_out:
-                self.probe(now, known)
-
     def probe(self, now: int, known: Upstream) -> None:
         known.probe_out = True
         self.said.append(("probe", known.entry.upstream))
