--- a/maddercart/logic.py
+++ b/maddercart/logic.py
@@ -30,7 +30,7 @@
     """One upstream as this sidecar knows it: its line on the list and what came back from it."""
 
     SAMPLES = 8  # enough for a median that one odd answer cannot move, few enough to follow a change
-    REPORT_FRESH = SECOND // 5
+    REPORT_FRESH = SECOND // 2
     FRESH = 3 * SECOND  # older samples tell of another load; about the time that a queue takes to turn
 
     def __init__(self, entry: Entry) -> None:
@@ -66,9 +66,10 @@
             estimate = max(estimate, service / 2)
         else:
             estimate += max(0.0, (growth * out + 1) / self.size - 1) * typical
-        estimate += (1 - fade) * wait
         if self.report is not None and now - self.report[0] < self.REPORT_FRESH and self.report[1].held >= 0:
-            estimate = (self.service() or typical) * max(1.0, (self.report[1].held + 1) / self.size)
+            here = (self.service() or typical) * max(0.0, (self.report[1].held + 1) / self.size - 1)
+            wait = (wait + int(here)) // 2
+        estimate += (1 - fade) * wait
         return int(max(estimate, now - next(iter(self.out.values()))[0] if self.out else 0))
 
 
@@ -445,7 +446,7 @@
     DRAWS = 3  # pairs drawn in each of the first two zones: one odd pair is no full zone
     HURRY = 6  # a dispatch is out for this many times the expected answer before another may follow
     FURTHER = 0.2  # further dispatches after doubt, at most this share of the last ones: no storms
-    LOOK = SECOND // 10  # a report younger than this is not asked for again
+    LOOK = SECOND // 2  # a report younger than this is not asked for again
     PROBE_WAIT = 30 * MILLISECOND
     FOLLOW_FIRST, FOLLOW_MOST = SECOND // 2, 8 * SECOND  # pauses after failed calls to the list
     NEVER = 1 << 62  # later than any clock
@@ -659,7 +660,8 @@
                 key = 0 if draw or place or query.sent else query.key
                 pair = self.pick.pair(ready, key)
                 if not place and not draw and query.pair:
-                    pair = [known for known in query.pair if known in ready] or pair
+                    told = [known for known in query.pair if known in ready and not known.probe_out]
+                    pair = told or pair
                 elif not place and not draw and self.asks(now, query, pair):
                     return None, 0
                 chosen = self.pick.better(now, pair, ready, key)
@@ -675,7 +677,8 @@
         """Has the two candidates probed, if their reports are old, and lets the query wait for that."""
         if not self.permits.probes or query.sent:
             return False
-        old = [k for k in pair if k.report is None or now - k.report[0] >= self.LOOK]
+        old = [k for k in pair if not k.samples or now - k.samples[-1][0] >= self.LOOK]
+        old = [k for k in old if k.report is None or now - k.report[0] >= self.LOOK]
         for known in old:
             if not known.probe_out:
                 self.probe(now, known)
