--- a/maddercart/logic.py
+++ b/maddercart/logic.py
@@ -343,7 +343,8 @@
             mean = sum(heard) / len(heard) if heard else 0.0
             first = mean + len(one.out) if first is None else first
             second = mean + len(two.out) if second is None else second
-        return one if first < second or (first == second and (key or self.draw() < 0.5)) else two
+        ahead = first - second - (key != 0)
+        return one if ahead < 0 or (ahead == 0 and self.draw() < 0.5) else two
 
     def choose(self, now: int, ready: Sequence[Upstream]) -> Upstream | None:
         return self.better(now, self.pair(ready), ready) if ready else None
