--- a/maddercart/logic.py
+++ b/maddercart/logic.py
@@ -48,6 +48,8 @@
 
     def service(self) -> int:
         """What a query takes here with little waiting; 0 if unheard."""
+        if self.report is not None and self.report[1].service > 0:
+            return self.report[1].service
         heard = sorted(duration for _, duration, _ in self.samples)
         return heard[len(heard) // 4] if heard else 0
 
@@ -343,7 +345,10 @@
             mean = sum(heard) / len(heard) if heard else 0.0
             first = mean + len(one.out) if first is None else first
             second = mean + len(two.out) if second is None else second
-        ahead = first - second - (key != 0)
+        pace, other = one.service(), two.service()
+        if pace and other:
+            first, second = (first + (not key)) * pace, (second + 1) * other
+        ahead = first - second
         return one if ahead < 0 or (ahead == 0 and self.draw() < 0.5) else two
 
     def choose(self, now: int, ready: Sequence[Upstream]) -> Upstream | None:
