--- a/maddercart/logic.py
+++ b/maddercart/logic.py
@@ -31,6 +31,7 @@
 
     SAMPLES = 8  # enough for a median that one odd answer cannot move, few enough to follow a change
     REPORT_FRESH = SECOND // 2
+    FEW = 4  # fewer answers than this are filled up with the middle one of all: one odd answer is no queue
     FRESH = 3 * SECOND  # older samples tell of another load; about the time that a queue takes to turn
 
     def __init__(self, entry: Entry) -> None:
@@ -48,8 +49,6 @@
 
     def service(self) -> int:
         """What a query takes here with little waiting; 0 if unheard."""
-        if self.report is not None and self.report[1].service > 0:
-            return self.report[1].service
         heard = sorted(duration for _, duration, _ in self.samples)
         return heard[len(heard) // 4] if heard else 0
 
@@ -57,14 +56,14 @@
         """How long one more query would take here: from the last few answers while they are fresh and those
         still owed, else with the wait that its zone has shown elsewhere."""
         out = len(self.out)
-        estimate = float(self.service() or typical)
-        fade = 0.0
+        estimate, fade = float(typical), 0.0
         if self.samples:
-            durations = sorted([duration for _, duration, _ in self.samples])
+            durations = [duration for _, duration, _ in self.samples]
+            durations = sorted(durations + [typical] * (self.FEW - len(durations)))
             service, base = durations[len(durations) // 4], durations[len(durations) // 2]
-            then = sum([then for _, _, then in self.samples]) / len(durations)
+            then = sum([then for _, _, then in self.samples]) / len(self.samples)
             fade = max(0.0, 1 - (now - self.samples[-1][0]) / self.FRESH)
-            estimate += fade * (base - service) + growth * (out - then) * base / max(self.size, then + 1)
+            estimate = service + fade * (base - service) + growth * (out - then) * base / max(self.size, then + 1)
             estimate = max(estimate, service / 2)
         else:
             estimate += max(0.0, (growth * out + 1) / self.size - 1) * typical
@@ -92,7 +91,7 @@
         self.cold, self.number, self.sidecars = cold, place.number, place.sidecars
         self.by_id: dict[int, Upstream] = {}
         self.zones: list[list[Upstream]] = [[] for _ in range(place.zones)]  # those listed as ready
-        self.durations: deque[int] = deque([unheard], maxlen=32)  # of the last answers; first a guess
+        self.durations: deque[int] = deque([unheard] * 8, maxlen=32)  # of the last answers; first a guess
         # By zone: the last waits and when they ended; when each dispatch was sent that is still out.
         self.waits: list[deque[tuple[int, int]]] = [deque(maxlen=16) for _ in self.zones]
         self.out: list[dict[tuple[int, int], int]] = [{} for _ in self.zones]
@@ -122,7 +121,7 @@
         typical = self.typical()
         waits = [wait for at, wait in self.waits[zone] if at > now - Upstream.FRESH]
         waits += [now - sent - typical for sent in islice(self.out[zone].values(), 16) if now - sent > typical]
-        return sum(waits) // len(waits) if waits else 0
+        return sum(waits) // max(len(waits), Upstream.FEW)
 
     def typical(self) -> int:
         """What the middle one of the last answers took."""
@@ -345,10 +344,7 @@
             mean = sum(heard) / len(heard) if heard else 0.0
             first = mean + len(one.out) if first is None else first
             second = mean + len(two.out) if second is None else second
-        pace, other = one.service(), two.service()
-        if pace and other:
-            first, second = (first + (not key)) * pace, (second + 1) * other
-        ahead = first - second
+        ahead = first - second - (key != 0)
         return one if ahead < 0 or (ahead == 0 and self.draw() < 0.5) else two
 
     def choose(self, now: int, ready: Sequence[Upstream]) -> Upstream | None:
