--- a/maddercart/logic.py
+++ b/maddercart/logic.py
@@ -69,7 +69,7 @@
             estimate += max(0.0, (growth * out + 1) / self.size - 1) * typical
         if self.report is not None and now - self.report[0] < self.REPORT_FRESH and self.report[1].held >= 0:
             here = (self.service() or typical) * max(0.0, (self.report[1].held + 1) / self.size - 1)
-            wait = (wait + int(here)) // 2
+            wait = max(wait, int(here))
         estimate += (1 - fade) * wait
         return int(max(estimate, now - next(iter(self.out.values()))[0] if self.out else 0))
 
