--- a/maddercart/logic.py
+++ b/maddercart/logic.py
@@ -52,6 +52,13 @@
         heard = sorted(duration for _, duration, _ in self.samples)
         return heard[len(heard) // 4] if heard else 0
 
+    def reported(self, now: int, typical: int) -> int:
+        """The wait that its report speaks of, while that is fresh."""
+        if self.report is None or now - self.report[0] >= self.REPORT_FRESH:
+            return 0
+        held = max(self.report[1].held + 1 - self.size, self.report[1].waiting, 0.0)
+        return int((self.service() or typical) * held / self.size)
+
     def expected(self, now: int, typical: int, wait: int, growth: float) -> int:
         """How long one more query would take here: from the last few answers while they are fresh and those
         still owed, else with the wait that its zone has shown elsewhere."""
@@ -67,9 +74,8 @@
             estimate = max(estimate, service / 2)
         else:
             estimate += max(0.0, (growth * out + 1) / self.size - 1) * typical
-        if self.report is not None and now - self.report[0] < self.REPORT_FRESH and self.report[1].held >= 0:
-            here = (self.service() or typical) * max(0.0, (self.report[1].held + 1) / self.size - 1)
-            wait = max(wait, int(here))
+        if self.report is not None:
+            wait = max(wait, self.reported(now, typical))
         estimate += (1 - fade) * wait
         return int(max(estimate, now - next(iter(self.out.values()))[0] if self.out else 0))
 
@@ -361,7 +367,7 @@
     agreed: int
     waits_since: int
     key: int  # 0: none, or of no use here
-    pair: list[Upstream] = field(default_factory=list)  # the candidates that were asked
+    asked: dict[int, list[Upstream]] = field(default_factory=dict)  # by zone: the candidates probed for it
     asks_until: int = 0
     sent: list[tuple[Upstream, int]] = field(default_factory=list)  # each dispatch: where and when
     out: set[int] = field(default_factory=set)  # numbers of the dispatches without an outcome
@@ -618,7 +624,7 @@
         if doubtful and self.recent.count(True) >= self.FURTHER * len(self.recent):
             self.lines.drop(query)
             return None if query.out else self.answer(now, query, 0)
-        if now < query.asks_until and any(known.probe_out for known in query.pair):
+        if now < query.asks_until and self.asking(query):
             return None
         typical = self.known.typical()
         if (canary := self.canary_target(now, query)) is not None:
@@ -628,7 +634,7 @@
         if query.out and (chosen is None or expected > limit):
             self.lines.drop(query)
             return None
-        if chosen is None and now < query.asks_until and any(known.probe_out for known in query.pair):
+        if chosen is None and now < query.asks_until and self.asking(query):
             return None
         if chosen is None:
             waited = now - query.waits_since > self.PATIENCE * self.offerings[query.offering].agreed
@@ -656,16 +662,22 @@
                 and (not tried or (known not in tried and self.ledger.may_go_to(query, known)))
             ]  # fmt: skip
             wait = self.known.wait(now, zone)
+            pair: list[Upstream] = []
+            key = 0 if place or query.sent else query.key
+            if self.permits.probes and not query.sent:
+                if zone not in query.asked:
+                    if len(query.asked) == 2:
+                        break
+                    query.asked[zone] = self.pick.pair(ready, key)
+                    if self.asks(now, query, query.asked[zone]):
+                        return None, 0
+                pair = [known for known in query.asked[zone] if known in ready and not known.probe_out]
+                wait = max(wait, min([known.reported(now, typical) for known in pair], default=0))
             for draw in range(self.DRAWS if place < 2 else 1):
                 if not ready:
                     break
-                key = 0 if draw or place or query.sent else query.key
-                pair = self.pick.pair(ready, key)
-                if not place and not draw and query.pair:
-                    told = [known for known in query.pair if known in ready and not known.probe_out]
-                    pair = told or pair
-                elif not place and not draw and self.asks(now, query, pair):
-                    return None, 0
+                if draw or not pair:
+                    key, pair = 0 if draw else key, self.pick.pair(ready, 0 if draw else key)
                 chosen = self.pick.better(now, pair, ready, key)
                 expected = chosen.expected(now, typical, wait, self.growth)
                 if expected <= enough:
@@ -675,6 +687,9 @@
                 ready.remove(chosen)
         return best, soonest
 
+    def asking(self, query: Query) -> bool:
+        return any(known.probe_out for known in chain.from_iterable(query.asked.values()))
+
     def asks(self, now: int, query: Query, pair: list[Upstream]) -> bool:
         """Has the two candidates probed, if their reports are old, and lets the query wait for that."""
         if not self.permits.probes or query.sent:
@@ -685,7 +700,7 @@
             if not known.probe_out:
                 self.probe(now, known)
         if old:
-            query.pair, query.asks_until = pair, now + self.PROBE_WAIT
+            query.asks_until = now + self.PROBE_WAIT
             heappush(self.due, (query.asks_until, -1))
         return bool(old)
 
