--- a/maddercart/logic.py
+++ b/maddercart/logic.py
@@ -455,6 +455,7 @@
     HURRY = 6  # a dispatch is out for this many times the expected answer before another may follow
     FURTHER = 0.2  # further dispatches after doubt, at most this share of the last ones: no storms
     LOOK = SECOND // 2  # a report younger than this is not asked for again
+    ASKED = 2  # zones whose candidates are probed for one query
     PROBE_WAIT = 30 * MILLISECOND
     FOLLOW_FIRST, FOLLOW_MOST = SECOND // 2, 8 * SECOND  # pauses after failed calls to the list
     NEVER = 1 << 62  # later than any clock
@@ -665,13 +666,12 @@
             pair: list[Upstream] = []
             key = 0 if place or query.sent else query.key
             if self.permits.probes and not query.sent:
-                if zone not in query.asked:
-                    if len(query.asked) == 2:
-                        break
-                    query.asked[zone] = self.pick.pair(ready, key)
-                    if self.asks(now, query, query.asked[zone]):
+                pair = query.asked.get(zone) or self.pick.pair(ready, key)
+                if zone not in query.asked and self.asks(now, query, zone, pair):
+                    if len(query.asked) <= self.ASKED:
                         return None, 0
-                pair = [known for known in query.asked[zone] if known in ready and not known.probe_out]
+                    continue
+                pair = [known for known in pair if known in ready and not known.probe_out]
                 wait = max(wait, min([known.reported(now, typical) for known in pair], default=0))
             for draw in range(self.DRAWS if place < 2 else 1):
                 if not ready:
@@ -690,16 +690,16 @@
     def asking(self, query: Query) -> bool:
         return any(known.probe_out for known in chain.from_iterable(query.asked.values()))
 
-    def asks(self, now: int, query: Query, pair: list[Upstream]) -> bool:
+    def asks(self, now: int, query: Query, zone: int, pair: list[Upstream]) -> bool:
         """Has the two candidates probed, if their reports are old, and lets the query wait for that."""
-        if not self.permits.probes or query.sent:
-            return False
         old = [k for k in pair if not k.samples or now - k.samples[-1][0] >= self.LOOK]
         old = [k for k in old if k.report is None or now - k.report[0] >= self.LOOK]
-        for known in old:
-            if not known.probe_out:
-                self.probe(now, known)
         if old:
+            query.asked[zone] = pair
+        if old and len(query.asked) <= self.ASKED:
+            for known in old:
+                if not known.probe_out:
+                    self.probe(now, known)
             query.asks_until = now + self.PROBE_WAIT
             heappush(self.due, (query.asks_until, -1))
         return bool(old)
