--- a/maddercart/logic.py
+++ b/maddercart/logic.py
@@ -46,6 +46,8 @@
         self.probation = 0  # good answers still to come before a failure is borne again
         self.canary_due: int | None = None  # set while ejected
         self.canary_out, self.probe_out = False, False
+        self.doubts: deque[int] = deque(maxlen=3)  # when it last failed someone, us or a peer
+        self.doubted_until = self.told_at = 0
 
     def service(self) -> int:
         """What a query takes here with little waiting; 0 if unheard."""
@@ -162,15 +164,28 @@
     GREY = 4  # failures among the last eight that eject as well: half, which chance alone seldom gives
     PROBATION = 8  # after a canary: guards against one that fails on part, whose canary had luck
     LAG = 4  # an answer this many times slower than the fleet's middle one is no success
+    DOUBT = 5 * SECOND  # then it gets its chance again: a few failures more, if it is still ill
     CANARY_EVERY, CANARY_MOST = SECOND // 2, 4 * SECOND  # a crashed process takes seconds to come back
 
     def __init__(self, chance: Random) -> None:
         self.spread = chance.uniform
         self.ejected: dict[int, Upstream] = {}
 
+    def doubt(self, now: int, known: Upstream) -> None:
+        """One failure, ours or told by a peer. Three from anywhere within a few seconds, and no success of ours
+        between them: the pick passes it over for a while. No word of a peer ejects it or lets it back."""
+        known.doubts.append(now)
+        if len(known.doubts) == self.IN_A_ROW and now - known.doubts[0] <= Group.WITHIN:
+            known.doubted_until = now + int(self.DOUBT * self.spread(0.8, 1.2))
+
     def judge(self, now: int, known: Upstream, good: bool, wrong: bool) -> bool:
         """Counts one answer of a query or a canary; True if it ejects the upstream."""
         known.outcomes.append(good)
+        if good:
+            known.doubts.clear()
+            known.doubted_until = 0
+        else:
+            self.doubt(now, known)
         known.failures = 0 if good else known.failures + 1
         if known.canary_due is not None:
             return False
@@ -455,6 +470,7 @@
     HURRY = 6  # a dispatch is out for this many times the expected answer before another may follow
     FURTHER = 0.2  # further dispatches after doubt, at most this share of the last ones: no storms
     LOOK = SECOND // 2  # a report younger than this is not asked for again
+    TELL_EVERY = SECOND // 5  # between two messages of ours, and after one on the same upstream
     ASKED = 2  # zones whose candidates are probed for one query
     PROBE_WAIT = 30 * MILLISECOND
     FOLLOW_FIRST, FOLLOW_MOST = SECOND // 2, 8 * SECOND  # pauses after failed calls to the list
@@ -475,7 +491,7 @@
         self.growth = min(place.sidecars, 8) ** 0.5
         self.said: deque[Decision] = deque()
         self.due: list[tuple[int, int]] = []  # a heap: when to look again, at which overdue query (-1: none)
-        self.wake_at = self.NEVER
+        self.wake_at, self.told_at = self.NEVER, 0
         self.recent: deque[bool] = deque(maxlen=50)  # the last dispatches: whether it was a further one
         self.follow_at, self.follow_failures = now if permits.follow else None, 0
         heappush(self.due, (now, -1))
@@ -549,6 +565,11 @@
             known.report = (now, report)
         self.canary_back(now, known, ok and not self.lags(now, duration))
 
+    def told(self, now: int, upstream: int) -> None:
+        if (known := self.known.by_id.get(upstream)) is not None:
+            known.told_at = now
+            self.health.doubt(now, known)
+
     def woken(self, now: int) -> None:
         if now >= self.wake_at - MILLISECOND:  # else an earlier timer has taken this one's place
             self.wake_at = self.NEVER
@@ -563,6 +584,9 @@
         if timed:
             known.samples.append((now, duration, then))
             self.known.heard(now, known, duration)
+        if not good and self.permits.tell and now - max(known.told_at, self.told_at) >= self.TELL_EVERY:
+            known.told_at = self.told_at = now
+            self.said.append(("tell", known.entry.upstream))
         if canary:
             self.canary_back(now, known, good)
             return
@@ -662,6 +686,7 @@
                 if known.canary_due is None and self.known.allows(now, known)
                 and (not tried or (known not in tried and self.ledger.may_go_to(query, known)))
             ]  # fmt: skip
+            ready = [known for known in ready if now >= known.doubted_until] or ready
             wait = self.known.wait(now, zone)
             pair: list[Upstream] = []
             key = 0 if place or query.sent else query.key
