--- a/maddercart/logic.py
+++ b/maddercart/logic.py
@@ -184,7 +184,7 @@
         if good:
             known.doubts.clear()
             known.doubted_until = 0
-        else:
+        elif wrong:
             self.doubt(now, known)
         known.failures = 0 if good else known.failures + 1
         if known.canary_due is not None:
@@ -584,7 +584,7 @@
         if timed:
             known.samples.append((now, duration, then))
             self.known.heard(now, known, duration)
-        if not good and self.permits.tell and now - max(known.told_at, self.told_at) >= self.TELL_EVERY:
+        if not timed and self.permits.tell and now - max(known.told_at, self.told_at) >= self.TELL_EVERY:
             known.told_at = self.told_at = now
             self.said.append(("tell", known.entry.upstream))
         if canary:
