--- a/maddercart/logic.py
+++ b/maddercart/logic.py
@@ -32,7 +32,6 @@
     SAMPLES = 8  # enough for a median that one odd answer cannot move, few enough to follow a change
     REPORT_FRESH = SECOND // 2
     FEW = 4  # fewer answers than this are filled up with the middle one of all: one odd answer is no queue
-    FRESH = 3 * SECOND  # older samples tell of another load; about the time that a queue takes to turn
 
     def __init__(self, entry: Entry) -> None:
         self.entry, self.salt = entry, mix(entry.upstream, 1)
@@ -61,7 +60,7 @@
         held = max(self.report[1].held + 1 - self.size, self.report[1].waiting, 0.0)
         return int((self.service() or typical) * held / self.size)
 
-    def expected(self, now: int, typical: int, wait: int, growth: float) -> int:
+    def expected(self, now: int, typical: int, wait: int, growth: float, fresh: int) -> int:
         """How long one more query would take here: from the last few answers while they are fresh and those
         still owed, else with the wait that its zone has shown elsewhere."""
         out = len(self.out)
@@ -71,7 +70,7 @@
             durations = sorted(durations + [typical] * (self.FEW - len(durations)))
             service, base = durations[len(durations) // 4], durations[len(durations) // 2]
             then = sum([then for _, _, then in self.samples]) / len(self.samples)
-            fade = max(0.0, 1 - (now - self.samples[-1][0]) / self.FRESH)
+            fade = max(0.0, 1 - (now - self.samples[-1][0]) / fresh)
             estimate = service + fade * (base - service) + growth * (out - then) * base / max(self.size, then + 1)
             estimate = max(estimate, service / 2)
         else:
@@ -93,6 +92,8 @@
 class KnownUpstreams:
     """The list as it was told, by zone, and what each upstream may still be sent."""
 
+    FRESH = 3 * SECOND  # older samples tell of another load; about the time that a queue takes to turn
+    FRESH_MOST = 12 * SECOND  # with little traffic an old sample is better than none
     HEAVY = 1.5  # a query may be heavier than the middle one: a margin of half keeps a sum of few inside
 
     def __init__(self, cold: ColdRule, place: Place, unheard: int) -> None:
@@ -100,6 +101,7 @@
         self.by_id: dict[int, Upstream] = {}
         self.zones: list[list[Upstream]] = [[] for _ in range(place.zones)]  # those listed as ready
         self.durations: deque[int] = deque([unheard] * 8, maxlen=32)  # of the last answers; first a guess
+        self.taken: deque[int] = deque(maxlen=32)  # when the last queries came: our own rate
         # By zone: the last waits and when they ended; when each dispatch was sent that is still out.
         self.waits: list[deque[tuple[int, int]]] = [deque(maxlen=16) for _ in self.zones]
         self.out: list[dict[tuple[int, int], int]] = [{} for _ in self.zones]
@@ -124,10 +126,19 @@
         self.durations.append(duration)
         self.waits[known.entry.zone].append((now, max(0, duration - (known.service() or self.typical()))))
 
+    def fresh(self, now: int) -> int:
+        """How long a sample counts: until each upstream of a zone would have been met twice."""
+        if len(self.taken) < self.taken.maxlen:
+            span = max(self.FRESH, now - self.taken[0]) if self.taken else self.FRESH
+        else:
+            span = now - self.taken[0]
+        met = span * 2 * max(map(len, self.zones)) // max(1, len(self.taken))
+        return min(max(self.FRESH, met), self.FRESH_MOST)
+
     def wait(self, now: int, zone: int) -> int:
         """The mean wait lately seen in a zone; a dispatch overdue there tells of it before its answer does."""
         typical = self.typical()
-        waits = [wait for at, wait in self.waits[zone] if at > now - Upstream.FRESH]
+        waits = [wait for at, wait in self.waits[zone] if at > now - self.fresh(now)]
         waits += [now - sent - typical for sent in islice(self.out[zone].values(), 16) if now - sent > typical]
         return sum(waits) // max(len(waits), Upstream.FEW)
 
@@ -523,6 +534,7 @@
         self.ledger.queries[number] = query
         self.callers.append(customer)
         self.lines.add(query)
+        self.known.taken.append(now)
 
     def outcome(
         self, now: int, number: int, upstream: int, shot: int, duration: int, outcome: int, ended: bool,
@@ -677,7 +689,7 @@
 
     def choose(self, now: int, query: Query, typical: int) -> tuple[Upstream | None, int]:
         """The pick in the first zone that can answer in time; else the soonest of the picks."""
-        best, soonest = None, 0
+        best, soonest, fresh = None, 0, self.known.fresh(now)
         enough = int(self.shortest * (self.SURPLUS + self.permits.crossing))
         tried = {where for where, _ in query.sent}
         for place, zone in enumerate(self.group.zones(now)):
@@ -704,7 +716,7 @@
                 if draw or not pair:
                     key, pair = 0 if draw else key, self.pick.pair(ready, 0 if draw else key)
                 chosen = self.pick.better(now, pair, ready, key)
-                expected = chosen.expected(now, typical, wait, self.growth)
+                expected = chosen.expected(now, typical, wait, self.growth, fresh)
                 if expected <= enough:
                     return chosen, expected
                 if best is None or expected < soonest - self.shortest * (best.entry.zone != zone) // 4:
