--- a/maddercart/logic.py
+++ b/maddercart/logic.py
@@ -54,30 +54,27 @@
         return heard[len(heard) // 4] if heard else 0
 
     def reported(self, now: int, typical: int) -> int:
-        """The wait that its report speaks of, while that is fresh."""
+        """The time that its report speaks of, while that is fresh."""
         if self.report is None or now - self.report[0] >= self.REPORT_FRESH:
             return 0
-        held = max(self.report[1].held + 1 - self.size, self.report[1].waiting, 0.0)
-        return int((self.service() or typical) * held / self.size)
+        held = max(self.report[1].held + 1, self.report[1].waiting + self.size)
+        return int((self.service() or typical) * max(1.0, held / self.size))
 
-    def expected(self, now: int, typical: int, wait: int, growth: float, fresh: int) -> int:
+    def expected(self, now: int, typical: int, pace: int, growth: float, fresh: int) -> int:
         """How long one more query would take here: from the last few answers while they are fresh and those
-        still owed, else with the wait that its zone has shown elsewhere."""
+        still owed, else as long as its zone lately took."""
         out = len(self.out)
-        estimate, fade = float(typical), 0.0
+        fade, here = 0.0, 0.0
         if self.samples:
             durations = [duration for _, duration, _ in self.samples]
             durations = sorted(durations + [typical] * (self.FEW - len(durations)))
             service, base = durations[len(durations) // 4], durations[len(durations) // 2]
             then = sum([then for _, _, then in self.samples]) / len(self.samples)
             fade = max(0.0, 1 - (now - self.samples[-1][0]) / fresh)
-            estimate = service + fade * (base - service) + growth * (out - then) * base / max(self.size, then + 1)
-            estimate = max(estimate, service / 2)
+            here = max(base + growth * (out - then) * base / max(self.size, then + 1), service / 2)
         else:
-            estimate += max(0.0, (growth * out + 1) / self.size - 1) * typical
-        if self.report is not None:
-            wait = max(wait, self.reported(now, typical))
-        estimate += (1 - fade) * wait
+            pace += int(max(0.0, (growth * out + 1) / self.size - 1) * typical)
+        estimate = fade * here + (1 - fade) * max(pace, self.reported(now, typical))
         return int(max(estimate, now - next(iter(self.out.values()))[0] if self.out else 0))
 
 
@@ -97,13 +94,14 @@
     HEAVY = 1.5  # a query may be heavier than the middle one: a margin of half keeps a sum of few inside
 
     def __init__(self, cold: ColdRule, place: Place, unheard: int) -> None:
+        self.unheard = unheard
         self.cold, self.number, self.sidecars = cold, place.number, place.sidecars
         self.by_id: dict[int, Upstream] = {}
         self.zones: list[list[Upstream]] = [[] for _ in range(place.zones)]  # those listed as ready
         self.durations: deque[int] = deque([unheard] * 8, maxlen=32)  # of the last answers; first a guess
         self.taken: deque[int] = deque(maxlen=32)  # when the last queries came: our own rate
-        # By zone: the last waits and when they ended; when each dispatch was sent that is still out.
-        self.waits: list[deque[tuple[int, int]]] = [deque(maxlen=16) for _ in self.zones]
+        # By zone: the last answers, when and how long; when each dispatch was sent that is still out.
+        self.answers: list[deque[tuple[int, int]]] = [deque(maxlen=16) for _ in self.zones]
         self.out: list[dict[tuple[int, int], int]] = [{} for _ in self.zones]
 
     def learn(self, entries: Sequence[Entry], whole: bool) -> None:
@@ -124,23 +122,24 @@
 
     def heard(self, now: int, known: Upstream, duration: int) -> None:
         self.durations.append(duration)
-        self.waits[known.entry.zone].append((now, max(0, duration - (known.service() or self.typical()))))
+        self.answers[known.entry.zone].append((now, duration))
 
     def fresh(self, now: int) -> int:
         """How long a sample counts: until each upstream of a zone would have been met twice."""
-        if len(self.taken) < self.taken.maxlen:
+        if len(self.taken) < 32:
             span = max(self.FRESH, now - self.taken[0]) if self.taken else self.FRESH
         else:
             span = now - self.taken[0]
         met = span * 2 * max(map(len, self.zones)) // max(1, len(self.taken))
         return min(max(self.FRESH, met), self.FRESH_MOST)
 
-    def wait(self, now: int, zone: int) -> int:
-        """The mean wait lately seen in a zone; a dispatch overdue there tells of it before its answer does."""
+    def pace(self, now: int, zone: int, fresh: int) -> int:
+        """What an answer lately took in a zone; a dispatch overdue there tells of it before its answer does."""
         typical = self.typical()
-        waits = [wait for at, wait in self.waits[zone] if at > now - self.fresh(now)]
-        waits += [now - sent - typical for sent in islice(self.out[zone].values(), 16) if now - sent > typical]
-        return sum(waits) // max(len(waits), Upstream.FEW)
+        took = [duration for at, duration in self.answers[zone] if at > now - fresh]
+        took += [now - sent for sent in islice(self.out[zone].values(), 16) if now - sent > typical]
+        took += [min(typical, self.unheard)] * (Upstream.FEW - len(took))
+        return sum(took) // len(took)
 
     def typical(self) -> int:
         """What the middle one of the last answers took."""
@@ -699,7 +698,7 @@
                 and (not tried or (known not in tried and self.ledger.may_go_to(query, known)))
             ]  # fmt: skip
             ready = [known for known in ready if now >= known.doubted_until] or ready
-            wait = self.known.wait(now, zone)
+            pace = self.known.pace(now, zone, fresh)
             pair: list[Upstream] = []
             key = 0 if place or query.sent else query.key
             if self.permits.probes and not query.sent:
@@ -709,14 +708,14 @@
                         return None, 0
                     continue
                 pair = [known for known in pair if known in ready and not known.probe_out]
-                wait = max(wait, min([known.reported(now, typical) for known in pair], default=0))
+                pace = max(pace, min([known.reported(now, typical) for known in pair], default=0))
             for draw in range(self.DRAWS if place < 2 else 1):
                 if not ready:
                     break
                 if draw or not pair:
                     key, pair = 0 if draw else key, self.pick.pair(ready, 0 if draw else key)
                 chosen = self.pick.better(now, pair, ready, key)
-                expected = chosen.expected(now, typical, wait, self.growth, fresh)
+                expected = chosen.expected(now, typical, pace, self.growth, fresh)
                 if expected <= enough:
                     return chosen, expected
                 if best is None or expected < soonest - self.shortest * (best.entry.zone != zone) // 4:
