--- a/maddercart/logic.py
+++ b/maddercart/logic.py
@@ -33,8 +33,8 @@
     REPORT_FRESH = SECOND // 2
     FEW = 4  # fewer answers than this are filled up with the middle one of all: one odd answer is no queue
 
-    def __init__(self, entry: Entry) -> None:
-        self.entry, self.salt = entry, mix(entry.upstream, 1)
+    def __init__(self, entry: Entry, rank: int) -> None:
+        self.entry, self.rank, self.salt = entry, rank, mix(entry.upstream, 1)
         self.size = max(1.0, entry.size)
         self.out: dict[tuple[int, int], tuple[int, int]] = {}  # dispatch: when sent, how many were out
         self.samples: deque[tuple[int, int, int]] = deque(maxlen=self.SAMPLES)  # end, duration, out then
@@ -90,6 +90,7 @@
     """The list as it was told, by zone, and what each upstream may still be sent."""
 
     FRESH = 3 * SECOND  # older samples tell of another load; about the time that a queue takes to turn
+    LEAST, MEET = 4, 8 * SECOND
     FRESH_MOST = 12 * SECOND  # with little traffic an old sample is better than none
     HEAVY = 1.5  # a query may be heavier than the middle one: a margin of half keeps a sum of few inside
 
@@ -112,18 +113,25 @@
         for entry in entries:
             known = self.by_id.get(entry.upstream)
             if known is None or entry.launched > known.entry.launched:
-                fresh = self.by_id[entry.upstream] = Upstream(entry)
+                fresh = self.by_id[entry.upstream] = Upstream(entry, mix(self.number, entry.upstream))
                 if known is not None:  # it restarted: all but what is still out was of another process
                     fresh.out = known.out
             else:
                 known.entry, known.size = entry, max(1.0, entry.size)
         ready = [known for known in self.by_id.values() if known.entry.condition == READY]
+        ready.sort(key=lambda known: known.rank, reverse=True)
         self.zones = [[k for k in ready if k.entry.zone == zone] for zone in range(len(self.zones))]
 
     def heard(self, now: int, known: Upstream, duration: int) -> None:
         self.durations.append(duration)
         self.answers[known.entry.zone].append((now, duration))
 
+    def members(self, now: int) -> int:
+        """How many upstreams of a zone we use: as many as we send a query to every few seconds."""
+        if len(self.taken) < 32:
+            return self.LEAST
+        return max(self.LEAST, len(self.taken) * self.MEET // max(1, now - self.taken[0]))
+
     def fresh(self, now: int) -> int:
         """How long a sample counts: until each upstream of a zone would have been met twice."""
         if len(self.taken) < 32:
@@ -691,6 +699,7 @@
         best, soonest, fresh = None, 0, self.known.fresh(now)
         enough = int(self.shortest * (self.SURPLUS + self.permits.crossing))
         tried = {where for where, _ in query.sent}
+        members = self.known.members(now)
         for place, zone in enumerate(self.group.zones(now)):
             ready = [
                 known for known in self.known.zones[zone]
@@ -698,6 +707,7 @@
                 and (not tried or (known not in tried and self.ledger.may_go_to(query, known)))
             ]  # fmt: skip
             ready = [known for known in ready if now >= known.doubted_until] or ready
+            del ready[members:]
             pace = self.known.pace(now, zone, fresh)
             pair: list[Upstream] = []
             key = 0 if place or query.sent else query.key
