--- a/maddercart/logic.py
+++ b/maddercart/logic.py
@@ -46,7 +46,7 @@
         self.canary_due: int | None = None  # set while ejected
         self.canary_out, self.probe_out = False, False
         self.doubts: deque[int] = deque(maxlen=3)  # when it last failed someone, us or a peer
-        self.doubted_until = self.told_at = 0
+        self.doubted_until = self.told_at = self.clear_at = 0  # clear_at: by a peer's word, once its queue is done
 
     def service(self) -> int:
         """What a query takes here with little waiting; 0 if unheard."""
@@ -75,6 +75,7 @@
         else:
             pace += int(max(0.0, (growth * out + 1) / self.size - 1) * typical)
         estimate = fade * here + (1 - fade) * max(pace, self.reported(now, typical))
+        estimate = max(estimate, self.clear_at - now)
         return int(max(estimate, now - next(iter(self.out.values()))[0] if self.out else 0))
 
 
@@ -94,10 +95,11 @@
     FRESH_MOST = 12 * SECOND  # with little traffic an old sample is better than none
     HEAVY = 1.5  # a query may be heavier than the middle one: a margin of half keeps a sum of few inside
 
-    def __init__(self, cold: ColdRule, place: Place, unheard: int) -> None:
+    def __init__(self, now: int, cold: ColdRule, place: Place, unheard: int) -> None:
         self.unheard = unheard
         self.cold, self.number, self.sidecars = cold, place.number, place.sidecars
         self.by_id: dict[int, Upstream] = {}
+        self.began = now
         self.zones: list[list[Upstream]] = [[] for _ in range(place.zones)]  # those listed as ready
         self.durations: deque[int] = deque([unheard] * 8, maxlen=32)  # of the last answers; first a guess
         self.taken: deque[int] = deque(maxlen=32)  # when the last queries came: our own rate
@@ -128,9 +130,8 @@
 
     def members(self, now: int) -> int:
         """How many upstreams of a zone we use: as many as we send a query to every few seconds."""
-        if len(self.taken) < 32:
-            return self.LEAST
-        return max(self.LEAST, len(self.taken) * self.MEET // max(1, now - self.taken[0]))
+        since = self.taken[0] if len(self.taken) == 32 else self.began
+        return max(self.LEAST, len(self.taken) * self.MEET // max(SECOND, now - since))
 
     def fresh(self, now: int) -> int:
         """How long a sample counts: until each upstream of a zone would have been met twice."""
@@ -488,6 +489,7 @@
     HURRY = 6  # a dispatch is out for this many times the expected answer before another may follow
     FURTHER = 0.2  # further dispatches after doubt, at most this share of the last ones: no storms
     LOOK = SECOND // 2  # a report younger than this is not asked for again
+    SLOW = 0.8
     TELL_EVERY = SECOND // 5  # between two messages of ours, and after one on the same upstream
     ASKED = 2  # zones whose candidates are probed for one query
     PROBE_WAIT = 30 * MILLISECOND
@@ -502,7 +504,7 @@
         chance = Random(seed)
         self.spread = chance.uniform
         self.shortest = min((o.agreed for o in offerings), default=SECOND)
-        self.known = KnownUpstreams(cold, place, int(self.shortest * self.UNHEARD))
+        self.known = KnownUpstreams(now, cold, place, int(self.shortest * self.UNHEARD))
         self.health, self.group, self.pick = Health(chance), Group(place, chance), Pick(chance)
         self.ledger, self.lines = Ledger(offerings, permits.dispatches, permits.copies), Lines()
         self.offerings, self.permits = offerings, permits
@@ -584,10 +586,13 @@
             known.report = (now, report)
         self.canary_back(now, known, ok and not self.lags(now, duration))
 
-    def told(self, now: int, upstream: int) -> None:
+    def told(self, now: int, upstream: int, took: int) -> None:
         if (known := self.known.by_id.get(upstream)) is not None:
             known.told_at = now
-            self.health.doubt(now, known)
+            if took:
+                known.clear_at = max(known.clear_at, now + took)
+            else:
+                self.health.doubt(now, known)
 
     def woken(self, now: int) -> None:
         if now >= self.wake_at - MILLISECOND:  # else an earlier timer has taken this one's place
@@ -603,9 +608,11 @@
         if timed:
             known.samples.append((now, duration, then))
             self.known.heard(now, known, duration)
-        if not timed and self.permits.tell and now - max(known.told_at, self.told_at) >= self.TELL_EVERY:
+        slow = timed and duration > self.shortest * self.SLOW
+        pause = SECOND if slow else self.TELL_EVERY
+        if (slow or not timed) and self.permits.tell and now - known.told_at >= pause and now - self.told_at >= self.TELL_EVERY:
             known.told_at = self.told_at = now
-            self.said.append(("tell", known.entry.upstream))
+            self.said.append(("tell", known.entry.upstream, duration if slow else 0))
         if canary:
             self.canary_back(now, known, good)
             return
