--- a/maddercart/logic.py
+++ b/maddercart/logic.py
@@ -46,7 +46,7 @@
         self.canary_due: int | None = None  # set while ejected
         self.canary_out, self.probe_out = False, False
         self.doubts: deque[int] = deque(maxlen=3)  # when it last failed someone, us or a peer
-        self.doubted_until = self.told_at = self.clear_at = 0  # clear_at: by a peer's word, once its queue is done
+        self.doubted_until = self.told_at = 0
 
     def service(self) -> int:
         """What a query takes here with little waiting; 0 if unheard."""
@@ -75,7 +75,6 @@
         else:
             pace += int(max(0.0, (growth * out + 1) / self.size - 1) * typical)
         estimate = fade * here + (1 - fade) * max(pace, self.reported(now, typical))
-        estimate = max(estimate, self.clear_at - now)
         return int(max(estimate, now - next(iter(self.out.values()))[0] if self.out else 0))
 
 
@@ -489,7 +488,6 @@
     HURRY = 6  # a dispatch is out for this many times the expected answer before another may follow
     FURTHER = 0.2  # further dispatches after doubt, at most this share of the last ones: no storms
     LOOK = SECOND // 2  # a report younger than this is not asked for again
-    SLOW = 0.8
     TELL_EVERY = SECOND // 5  # between two messages of ours, and after one on the same upstream
     ASKED = 2  # zones whose candidates are probed for one query
     PROBE_WAIT = 30 * MILLISECOND
@@ -586,13 +584,10 @@
             known.report = (now, report)
         self.canary_back(now, known, ok and not self.lags(now, duration))
 
-    def told(self, now: int, upstream: int, took: int) -> None:
+    def told(self, now: int, upstream: int) -> None:
         if (known := self.known.by_id.get(upstream)) is not None:
             known.told_at = now
-            if took:
-                known.clear_at = max(known.clear_at, now + took)
-            else:
-                self.health.doubt(now, known)
+            self.health.doubt(now, known)
 
     def woken(self, now: int) -> None:
         if now >= self.wake_at - MILLISECOND:  # else an earlier timer has taken this one's place
@@ -608,11 +603,9 @@
         if timed:
             known.samples.append((now, duration, then))
             self.known.heard(now, known, duration)
-        slow = timed and duration > self.shortest * self.SLOW
-        pause = SECOND if slow else self.TELL_EVERY
-        if (slow or not timed) and self.permits.tell and now - known.told_at >= pause and now - self.told_at >= self.TELL_EVERY:
+        if not timed and self.permits.tell and now - max(known.told_at, self.told_at) >= self.TELL_EVERY:
             known.told_at = self.told_at = now
-            self.said.append(("tell", known.entry.upstream, duration if slow else 0))
+            self.said.append(("tell", known.entry.upstream))
         if canary:
             self.canary_back(now, known, good)
             return
--- a/maddercart/wirehost/frames.py
+++ b/maddercart/wirehost/frames.py
@@ -33,4 +33,5 @@
 SET_TIMER_ACTION = Struct("<HIdI6x")
 POST_ACTION = Struct("<HIHII8x")
 EVERY_PEER = 0xFFFF
-MESSAGE = Struct("<IH")  # what peers say to each other: an upstream, how many ms it took (0: it failed)
+MESSAGE = Struct("<BI")  # what peers say to each other: its kind, an upstream
+FAILED = 1  # the only kind so far: this upstream failed me
--- a/maddercart/wirehost/host.py
+++ b/maddercart/wirehost/host.py
@@ -3,7 +3,7 @@
 import gc
 from typing import BinaryIO
 
-from maddercart.interface import DONE, MILLISECOND, SECOND, Decision, Entry, Report
+from maddercart.interface import DONE, SECOND, Decision, Entry, Report
 from maddercart.logic import Balancer
 from maddercart.wirehost import frames as f
 from maddercart.wirehost.settings import Settings, balancer_arguments, report_order
@@ -108,9 +108,9 @@
                 balancer.learn(now, self.inventories[number], kind != 0)
         elif code == f.PEER:
             start, length = f.PEER_BODY.unpack_from(body, at)
-            if length == f.MESSAGE.size:  # anything else is not for us
-                upstream, took = f.MESSAGE.unpack(self.slice(body, tail_at + start, length))
-                balancer.told(now, upstream, took * MILLISECOND)
+            message = self.slice(body, tail_at + start, length)
+            if length == f.MESSAGE.size and message[0] == f.FAILED:  # anything else is not for us
+                balancer.told(now, f.MESSAGE.unpack(message)[1])
         else:
             raise FrameError(f"record {at // f.EVENT_SIZE}: event code {code} is unknown")
 
@@ -151,8 +151,8 @@
                 put(f.ABORT_ATTEMPT_ACTION.pack(f.ABORT_ATTEMPT, instance, query, number))
             case ("probe", int(upstream)):
                 put(f.POLL_ACTION.pack(f.POLL, instance, upstream))
-            case ("tell", int(upstream), int(took)):
-                message = f.MESSAGE.pack(upstream, min(took // MILLISECOND, 0xFFFF))
+            case ("tell", int(upstream)):
+                message = f.MESSAGE.pack(f.FAILED, upstream)
                 put(f.POST_ACTION.pack(f.POST, instance, f.EVERY_PEER, len(self.tail), len(message)))
                 self.tail += message
             case ("follow",):
