--- a/maddercart/logic.py
+++ b/maddercart/logic.py
@@ -100,6 +100,8 @@
         self.by_id: dict[int, Upstream] = {}
         self.began = now
         self.zones: list[list[Upstream]] = [[] for _ in range(place.zones)]  # those listed as ready
+        self.warm, self.fresh_ones = self.zones, self.zones  # of these, by zone, as of the last sorting
+        self.sort_at = 0
         self.durations: deque[int] = deque([unheard] * 8, maxlen=32)  # of the last answers; first a guess
         self.taken: deque[int] = deque(maxlen=32)  # when the last queries came: our own rate
         # By zone: the last answers, when and how long; when each dispatch was sent that is still out.
@@ -122,6 +124,16 @@
         ready = [known for known in self.by_id.values() if known.entry.condition == READY]
         ready.sort(key=lambda known: known.rank, reverse=True)
         self.zones = [[k for k in ready if k.entry.zone == zone] for zone in range(len(self.zones))]
+        self.sort_at = 0
+
+    def sort(self, now: int) -> None:
+        """Tells the cold ones from the warm ones, anew whenever one has become warm."""
+        if now < self.sort_at:
+            return
+        ramp = self.cold.ramp
+        self.warm = [[k for k in z if not k.entry.launched or now - k.entry.launched >= ramp] for z in self.zones]
+        self.fresh_ones = [[k for k in z if k.entry.launched and now - k.entry.launched < ramp] for z in self.zones]
+        self.sort_at = min((k.entry.launched + ramp for z in self.fresh_ones for k in z), default=1 << 62)
 
     def heard(self, now: int, known: Upstream, duration: int) -> None:
         self.durations.append(duration)
@@ -153,17 +165,22 @@
         """What the middle one of the last answers took."""
         return sorted(self.durations)[len(self.durations) // 2]
 
+    def share(self, now: int, known: Upstream) -> float:
+        """The least part of its capacity that a cold one has by now."""
+        age = now - known.entry.launched
+        if not known.entry.launched or age >= self.cold.ramp:
+            return 1.0
+        return self.cold.start + (1 - self.cold.start) * age / self.cold.ramp
+
     def allows(self, now: int, known: Upstream) -> bool:
         """Guards against all sidecars together pushing a cold one over, with no word between them. What it
         can take over a window, by the lowest capacity that the settings permit for its age, is dealt out
         in whole queries along the ring of sidecars, from a hash of its id on: whoever carries the most
         traffic, the parts add up to no more. All of us that are told of its start know its age."""
-        launched = known.entry.launched
-        if launched == 0 or now - launched >= self.cold.ramp:
-            return True
         window, sent = self.cold.window, known.sent_cold
-        age = max(0, now - launched - window)
-        capacity = (self.cold.start + (1 - self.cold.start) * age / self.cold.ramp) * known.size
+        if (share := self.share(max(known.entry.launched, now - window), known)) == 1.0:
+            return True
+        capacity = share * known.size
         queries = int(self.cold.multiple * capacity * window / (self.typical() * self.HEAVY))
         place = (self.number - mix(known.entry.upstream, 0)) % self.sidecars
         while sent and sent[0] <= now - window:
@@ -361,9 +378,12 @@
         weight = max(0.0, 1 - (now - at) / self.AGE)
         return len(known.out) + weight * max(report.held, report.waiting, 0.0)
 
-    def pair(self, ready: Sequence[Upstream], key: int = 0) -> list[Upstream]:
+    def pair(self, ready: Sequence[Upstream], key: int = 0, fed: Sequence[Upstream] = ()) -> list[Upstream]:
         """Two at random; with a key, one is the first in a hash order of the key, the same for all sidecars:
         it met the key lately, if anyone did."""
+        if fed:
+            first = fed[int(self.draw() * len(fed))]
+            return [first, ready[int(self.draw() * len(ready))]] if ready else [first]
         if len(ready) < 2:
             return list(ready)
         at = int(self.draw() * len(ready))
@@ -700,37 +720,40 @@
         enough = int(self.shortest * (self.SURPLUS + self.permits.crossing))
         tried = {where for where, _ in query.sent}
         members = self.known.members(now)
+        self.known.sort(now)
         for place, zone in enumerate(self.group.zones(now)):
-            ready = [
-                known for known in self.known.zones[zone]
-                if known.canary_due is None and self.known.allows(now, known)
+            may = [
+                known for known in chain(self.known.warm[zone], self.known.fresh_ones[zone])
+                if known.canary_due is None and now >= known.doubted_until and self.known.allows(now, known)
                 and (not tried or (known not in tried and self.ledger.may_go_to(query, known)))
             ]  # fmt: skip
-            ready = [known for known in ready if now >= known.doubted_until] or ready
-            del ready[members:]
+            ready = [k for k in may if self.known.share(now, k) == 1.0][:members]
+            fed = [k for k in may if self.known.share(now, k) < 1.0]
             pace = self.known.pace(now, zone, fresh)
             pair: list[Upstream] = []
             key = 0 if place or query.sent else query.key
             if self.permits.probes and not query.sent:
-                pair = query.asked.get(zone) or self.pick.pair(ready, key)
+                pair = query.asked.get(zone) or self.pick.pair(ready, key, fed)
                 if zone not in query.asked and self.asks(now, query, zone, pair):
                     if len(query.asked) <= self.ASKED:
                         return None, 0
                     continue
-                pair = [known for known in pair if known in ready and not known.probe_out]
+                pair = [known for known in pair if known in may and not known.probe_out]
                 pace = max(pace, min([known.reported(now, typical) for known in pair], default=0))
             for draw in range(self.DRAWS if place < 2 else 1):
-                if not ready:
+                if not ready and not fed:
                     break
                 if draw or not pair:
-                    key, pair = 0 if draw else key, self.pick.pair(ready, 0 if draw else key)
-                chosen = self.pick.better(now, pair, ready, key)
+                    key, pair = 0 if draw else key, self.pick.pair(ready, 0 if draw else key, fed)
+                chosen = self.pick.better(now, pair, ready, key or bool(fed))
                 expected = chosen.expected(now, typical, pace, self.growth, fresh)
+                if chosen in fed:
+                    expected = max(expected, int(typical / self.known.share(now, chosen)))
                 if expected <= enough:
                     return chosen, expected
                 if best is None or expected < soonest - self.shortest * (best.entry.zone != zone) // 4:
                     best, soonest = chosen, expected
-                ready.remove(chosen)
+                (fed if chosen in fed else ready).remove(chosen)
         return best, soonest
 
     def asking(self, query: Query) -> bool:
