--- a/maddercart/logic.py
+++ b/maddercart/logic.py
@@ -181,7 +181,7 @@
         if (share := self.share(max(known.entry.launched, now - window), known)) == 1.0:
             return True
         capacity = share * known.size
-        queries = int(self.cold.multiple * capacity * window / (self.typical() * self.HEAVY))
+        queries = int(self.cold.multiple * capacity * window / (min(self.typical(), self.unheard) * self.HEAVY))
         place = (self.number - mix(known.entry.upstream, 0)) % self.sidecars
         while sent and sent[0] <= now - window:
             sent.popleft()
@@ -753,7 +753,8 @@
                     return chosen, expected
                 if best is None or expected < soonest - self.shortest * (best.entry.zone != zone) // 4:
                     best, soonest = chosen, expected
-                (fed if chosen in fed else ready).remove(chosen)
+                ready = [known for known in ready if known is not chosen]
+                fed = [known for known in fed if known is not chosen]
         return best, soonest
 
     def asking(self, query: Query) -> bool:
