--- a/maddercart/logic.py
+++ b/maddercart/logic.py
@@ -165,6 +165,10 @@
         """What the middle one of the last answers took."""
         return sorted(self.durations)[len(self.durations) // 2]
 
+    def work(self) -> int:
+        """What a query takes with no wait: the lower quarter of the last answers, a guess at most."""
+        return min(sorted(self.durations)[len(self.durations) // 4], self.unheard)
+
     def share(self, now: int, known: Upstream) -> float:
         """The least part of its capacity that a cold one has by now."""
         age = now - known.entry.launched
@@ -181,7 +185,7 @@
         if (share := self.share(max(known.entry.launched, now - window), known)) == 1.0:
             return True
         capacity = share * known.size
-        queries = int(self.cold.multiple * capacity * window / (min(self.typical(), self.unheard) * self.HEAVY))
+        queries = int(self.cold.multiple * capacity * window / (self.work() * self.HEAVY))
         place = (self.number - mix(known.entry.upstream, 0)) % self.sidecars
         while sent and sent[0] <= now - window:
             sent.popleft()
@@ -748,7 +752,7 @@
                 chosen = self.pick.better(now, pair, ready, key or bool(fed))
                 expected = chosen.expected(now, typical, pace, self.growth, fresh)
                 if chosen in fed:
-                    expected = max(expected, int(typical / self.known.share(now, chosen)))
+                    expected = int(self.known.work() / self.known.share(now, chosen))
                 if expected <= enough:
                     return chosen, expected
                 if best is None or expected < soonest - self.shortest * (best.entry.zone != zone) // 4:
