--- a/maddercart/logic.py
+++ b/maddercart/logic.py
@@ -90,7 +90,7 @@
     """The list as it was told, by zone, and what each upstream may still be sent."""
 
     FRESH = 3 * SECOND  # older samples tell of another load; about the time that a queue takes to turn
-    LEAST, MEET = 4, 2 * SECOND
+    LEAST, MEET = 3, SECOND
     FRESH_MOST = 12 * SECOND  # with little traffic an old sample is better than none
     HEAVY = 1.5  # a query may be heavier than the middle one: a margin of half keeps a sum of few inside
 
