A further dispatch draws its own pair: the one that was asked may have gone since

Found by the plain model on generated lists: after a failed first dispatch the pair that had been probed was used again, though one of it was gone by then (drains), tried or cold.

--- a/maddercart/logic.py
+++ b/maddercart/logic.py
@@ -708,7 +708,7 @@
             ready, fed = self.candidates(now, query, zone)
             key = 0 if place or query.sent else query.key
             favourite = fed[0] if fed else self.pick.by_key(key, ready)
-            pair = query.asked.get(zone) or self.pick.pair(ready, favourite)
+            pair = (not query.sent and query.asked.get(zone)) or self.pick.pair(ready, favourite)
             pace = self.answers.pace(now, zone, fresh)
             if self.permits.probes and not query.sent:
                 if zone not in query.asked and not all(known.heard(now, self.LOOK) for known in pair):
@@ -748,7 +748,7 @@
 
     def work(self) -> int:
         """What a query takes with no wait: the lower quarter of the last answers, a guess at most."""
-        return min(self.answers.quarter, self.answers.unheard)
+        return max(1, min(self.answers.quarter, self.answers.unheard))
 
     def asking(self, now: int, query: Query) -> bool:
         waits = now < query.asks_until and not query.sent
