--- a/maddercart/logic.py
+++ b/maddercart/logic.py
@@ -7,11 +7,10 @@
 
  1. surplus      a query crosses zones only while its own zone cannot answer in time and another can
  2. early bounce a query is turned away when no upstream that may get it can answer it in time
- 3. grey         an upstream failing or lagging on half of its last answers is ejected as if in a row,
-                 and after a canary's success it is on probation: one failure ejects it again
- 4. further try  a redoable or labelled query overdue at one upstream goes to another as well or instead
- 5. asking       the two candidates of a pick of which nothing fresh is known are probed first
- 6. warm keys    one of the two candidates is the first in an order hashed from the query's key
+ 3. asking       the two candidates of a pick of which nothing fresh is known are probed first
+ 4. warm keys    one of the two candidates is the first in an order hashed from the query's key
+ 5. own set      a sidecar uses those upstreams that rank highest in a hash of its number and theirs
+ 6. cold ring    a cold upstream is fed by as many sidecars on the ring as it can bear, a query each
 """
 
 from collections import deque
@@ -22,7 +21,7 @@
 from random import Random
 
 from maddercart.interface import (
-    CANCELLED, DONE, FULL, GONE, IRREVERSIBLE, LABELLED, MILLISECOND, MOOT, NEVER_RAN, READY, REDOABLE,
+    CANCELLED, DONE, FULL, GONE, LABELLED, MILLISECOND, MOOT, NEVER_RAN, READY, REDOABLE,
     RESET, SAME_CELL, SAME_ZONE, SECOND, TIMED_OUT, UNREACHABLE, ColdRule, Customer, Decision, Entry,
     Offering, Permits, Place, Report,
 )  # fmt: skip
@@ -50,9 +49,7 @@
         self.samples: deque[tuple[int, int, int]] = deque(maxlen=self.SAMPLES)  # end, duration, out then
         self.sent_cold: deque[int] = deque()  # when it was sent each of the last queries while cold
         self.report: tuple[int, Report] | None = None  # when heard
-        self.outcomes: deque[bool] = deque(maxlen=self.SAMPLES)
-        self.failures = self.pauses = 0  # in a row; since it was last well
-        self.probation = 0  # good answers still to come before a failure is borne again
+        self.failures = self.pauses = 0  # in a row, below 0 successes; since it was last well
         self.canary_due: int | None = None  # set while ejected
         self.canary_out, self.probe_out = False, False
 
@@ -212,8 +209,7 @@
     """Judges each answer, ejects an upstream and lets it back after a canary."""
 
     IN_A_ROW = 3  # the design's starting value
-    GREY = 4  # failures among the last eight that eject as well: half, which chance alone seldom gives
-    PROBATION = 8  # after a canary: guards against one that fails on part, whose canary had luck
+    WELL = 8  # good answers in a row after which its next ejection counts as its first
     LAG = 4  # an answer this many times slower than the fleet's middle one is no success
     CANARY_EVERY, CANARY_MOST = SECOND // 2, 4 * SECOND  # a crashed process takes seconds to come back
 
@@ -221,17 +217,12 @@
         self.spread = chance.uniform
         self.ejected: dict[int, Upstream] = {}
 
-    def judge(self, now: int, known: Upstream, good: bool, wrong: bool) -> bool:
-        """Counts one answer of a query or a canary; True if it ejects the upstream."""
-        known.outcomes.append(good)
-        known.failures = 0 if good else known.failures + 1
-        if known.canary_due is not None:
-            return False
-        relapsed = known.probation > 0 and wrong
-        if known.probation and good:
-            known.probation -= 1
-            known.pauses *= known.probation > 0
-        if not relapsed and known.failures < self.IN_A_ROW and known.outcomes.count(False) < self.GREY:
+    def judge(self, now: int, known: Upstream, good: bool) -> bool:
+        """Counts one answer of a query; True if it ejects the upstream."""
+        known.failures = min(0, known.failures - 1) if good else max(0, known.failures) + 1
+        if known.failures <= -self.WELL:
+            known.pauses = 0
+        if known.canary_due is not None or known.failures < self.IN_A_ROW:
             return False
         self.postpone(now, known)
         return True
@@ -248,8 +239,6 @@
         if good and known.canary_due is not None:
             self.ejected.pop(known.entry.upstream, None)
             known.canary_due, known.canary_out, known.failures = None, False, 0
-            known.probation = self.PROBATION
-            known.outcomes.clear()
         elif known.canary_due is not None:
             self.postpone(now, known)
 
@@ -434,28 +423,25 @@
 class Ledger:
     """Keeps the promises made with each offering."""
 
-    def __init__(self, offerings: Sequence[Offering], dispatches: int, copies: bool) -> None:
-        self.offerings, self.dispatches, self.copies = offerings, dispatches, copies
+    def __init__(self, offerings: Sequence[Offering], dispatches: int) -> None:
+        self.offerings, self.dispatches = offerings, dispatches
         self.queries: dict[int, Query] = {}
 
     def may_send(self, now: int, query: Query) -> bool:
-        if query.ended or query.streams or now >= query.stop or len(query.sent) >= self.dispatches:
-            return False
-        if query.out and (not self.copies or query.effect == IRREVERSIBLE):
+        """Whether another dispatch is allowed at all; only ever one is out at a time."""
+        if query.ended or query.streams or query.out or now >= query.stop or len(query.sent) >= self.dispatches:
             return False
-        if not query.suspects and not query.out:
-            return True
-        if query.effect == LABELLED:
-            first = min(query.sent[n][1] for n in chain(query.suspects, query.out))
+        if query.suspects and query.effect == LABELLED:
+            first = min(query.sent[shot][1] for shot in query.suspects)
             return now - first < self.offerings[query.offering].window
-        return query.effect == REDOABLE
+        return not query.suspects or query.effect == REDOABLE
 
     def may_go_to(self, query: Query, known: Upstream) -> bool:
         """Whether this one may: repeats of a labelled query stay where they are dropped."""
         group = self.offerings[query.offering].group
         if query.effect != LABELLED or group not in (SAME_ZONE, SAME_CELL):
             return True
-        ran = [query.sent[number][0].entry for number in chain(query.suspects, query.out)]
+        ran = [query.sent[shot][0].entry for shot in query.suspects]
         where = "zone" if group == SAME_ZONE else "cell"
         return all(getattr(entry, where) == getattr(known.entry, where) for entry in ran)
 
@@ -504,7 +490,6 @@
     OVER = 1.2  # times its share: the last hundred queries stray that far by chance alone
     UNHEARD = 0.25  # of the shortest agreed time: what an answer is taken to need before any was seen
     DRAWS = 3  # pairs drawn in each of the first two zones: one odd pair is no full zone
-    HURRY = 6  # a dispatch is out for this many times the expected answer before another may follow
     FURTHER = 0.2  # further dispatches after doubt, at most this share of the last ones: no storms
     LOOK = SECOND // 2  # an upstream heard within this time is not asked again
     ASKED = 2  # zones whose candidates are probed for one query: a surplus may cross, not search
@@ -523,15 +508,15 @@
         self.roster, self.cold = Roster(place, cold.ramp), ColdBudget(cold, place)
         self.answers = Answers(now, place.zones, int(self.shortest * self.UNHEARD))
         self.health, self.group, self.pick = Health(chance), Group(place, chance), Pick(chance)
-        self.ledger, self.lines = Ledger(offerings, permits.dispatches, permits.copies), Lines()
+        self.ledger, self.lines = Ledger(offerings, permits.dispatches), Lines()
         self.offerings, self.permits = offerings, permits
         self.growth = min(place.sidecars, 8) ** 0.5
         self.said: deque[Decision] = deque()
-        self.due: list[tuple[int, int]] = []  # a heap: when to look again, at which overdue query (-1: none)
+        self.due: list[int] = []  # a heap: when to look again
         self.wake_at = self.NEVER
         self.recent: deque[bool] = deque(maxlen=50)  # the last dispatches: whether it was a further one
         self.follow_at, self.follow_failures = now if permits.follow else None, 0
-        heappush(self.due, (now, -1))
+        heappush(self.due, now)
         self.ranks = [sum(p.earnings > o.earnings for p in offerings) for o in offerings]
         self.shares = [customer.share for customer in customers]
         self.callers: deque[int] = deque(maxlen=100)  # customers of the last queries: a share in percent
@@ -550,7 +535,7 @@
         pause = min(self.FOLLOW_FIRST << min(self.follow_failures, 5), self.FOLLOW_MOST)
         self.follow_failures += 1
         self.follow_at = now + int(pause * self.spread(0.5, 1.5))
-        heappush(self.due, (self.follow_at, -1))
+        heappush(self.due, self.follow_at)
 
     def take(self, now: int, number: int, offering: int, customer: int, remaining: int, key: int) -> None:
         terms = self.offerings[offering]
@@ -620,23 +605,23 @@
         if canary:
             self.canary_back(now, known, good)
             return
-        if self.health.judge(now, known, good, not timed):
+        if self.health.judge(now, known, good):
             self.said.append(("note", f"ejected {known.entry.upstream}"))
-            heappush(self.due, (known.canary_due or now, -1))
+            heappush(self.due, known.canary_due or now)
             self.roster.sort_at = 0
         if outcome in (DONE, UNREACHABLE, RESET, TIMED_OUT):
             self.group.heard(now, known.entry.zone, outcome == DONE)
             if outcome != DONE:
-                heappush(self.due, (now, -1))
+                heappush(self.due, now)
 
     def canary_back(self, now: int, known: Upstream, good: bool) -> None:
         if known.canary_out:
             self.health.canary(now, known, good)
-            heappush(self.due, (known.canary_due or now, -1))
+            heappush(self.due, known.canary_due or now)
             self.roster.sort_at = 0
         if self.group.canary_sent and known.entry.zone == self.group.canary_zone:
             self.group.canary(now, good)
-            heappush(self.due, (now, -1))
+            heappush(self.due, now)
 
     def lags(self, duration: int) -> bool:
         """Guards against upstreams many times slower than the rest, which never quite fail."""
@@ -652,44 +637,42 @@
     # -- decisions out
 
     def decide(self, now: int) -> Decision | None:
-        if self.due and self.due[0][0] <= now:
+        if self.due and self.due[0] <= now:
             self.look(now)
         while not self.said and (query := self.lines.next()) is not None:
             if query.ended:
                 continue
             if (decision := self.place(now, query)) is not None:
                 return decision
-            if not query.out:
-                if not self.lines.waiting:
-                    heappush(self.due, (now + self.TICK, -1))
-                self.lines.waiting[query.number] = query
+            if not self.lines.waiting:
+                heappush(self.due, now + self.TICK)
+            self.lines.waiting[query.number] = query
         if self.said:
             return self.said.popleft()
-        if self.due and self.due[0][0] < self.wake_at:
-            self.wake_at = self.due[0][0]
+        if self.due and self.due[0] < self.wake_at:
+            self.wake_at = self.due[0]
             return ("wake", self.wake_at - now)
         return None
 
     def place(self, now: int, query: Query) -> Decision | None:
-        """A dispatch, a final answer, or None: the query waits, or a dispatch that is out goes on alone."""
-        further = bool(query.suspects or query.out)
-        too_many = further and self.recent.count(True) >= self.FURTHER * len(self.recent)
+        """A dispatch, a final answer, or None: the query waits."""
+        too_many = bool(query.suspects) and self.recent.count(True) >= self.FURTHER * len(self.recent)
         if too_many or not self.ledger.may_send(now, query):
-            return None if query.out else self.answer(now, query, 0)
+            return self.answer(now, query, 0)
         if self.asking(now, query):
             return None
         if (canary := self.canary_target(now, query)) is not None:
-            return self.dispatch(now, query, canary, self.answers.typical, True)
+            return self.dispatch(now, query, canary, True)
         chosen, expected = self.choose(now, query)
         limit = min(self.room(query), query.agreed - now)
-        if (query.out and (chosen is None or expected > limit)) or self.asking(now, query):
+        if self.asking(now, query):
             return None
         if chosen is None:
             waited = now - query.waits_since > self.PATIENCE * self.offerings[query.offering].agreed
             return self.answer(now, query, 0) if waited or query.stop - now < 2 * self.TICK else None
         if expected > limit and not query.suspects and self.ledger.may_bounce(query):
             return self.answer(now, query, expected - limit)
-        return self.dispatch(now, query, chosen, expected, False)
+        return self.dispatch(now, query, chosen, False)
 
     def room(self, query: Query) -> int:
         """How long an answer may take: less for what earns less and for customers over their share."""
@@ -759,7 +742,7 @@
         if len(query.asked) == self.ASKED:
             return False
         query.asked[zone], query.asks_until = pair, now + self.PROBE_WAIT
-        heappush(self.due, (query.asks_until, -1))
+        heappush(self.due, query.asks_until)
         for known in pair:
             if not known.probe_out and not known.heard(now, self.LOOK):
                 self.probe(now, known)
@@ -786,30 +769,18 @@
                 return known
         return None
 
-    def dispatch(self, now: int, query: Query, known: Upstream, expected: int, canary: bool) -> Decision:
+    def dispatch(self, now: int, query: Query, known: Upstream, canary: bool) -> Decision:
         shot = len(query.sent)
         if canary:
             query.canaries.add(shot)
-        self.recent.append(bool(query.suspects or query.out))
+        self.recent.append(bool(query.suspects))
         self.cold.charge(now, known)
         known.out[query.number, shot] = (now, len(known.out))
         self.answers.out[known.entry.zone][query.number, shot] = now
         query.sent.append((known, now))
         query.out.add(shot)
         self.lines.drop(query)
-        patience = self.patience(now, query, expected)
-        if patience and self.permits.copies:
-            heappush(self.due, (now + patience, query.number))
-            patience = 0
-        return ("dispatch", query.number, known.entry.upstream, patience or query.stop - now)
-
-    def patience(self, now: int, query: Query, expected: int) -> int:
-        """How long to wait before another upstream is worth a try; 0: as long as the client does."""
-        if query.effect == IRREVERSIBLE or len(query.sent) >= self.ledger.dispatches:
-            return 0
-        left = query.agreed - now
-        patient = max(self.HURRY * expected, left // 2)
-        return patient if patient <= left - self.answers.typical else 0
+        return ("dispatch", query.number, known.entry.upstream, query.stop - now)
 
     def answer(self, now: int, query: Query, after: int) -> Decision:
         """The final answer to a query that is given up on."""
@@ -820,10 +791,8 @@
         return ("bounce", query.number, wait) if bounce else ("abort", query.number)
 
     def look(self, now: int) -> None:
-        while self.due and self.due[0][0] <= now:
-            query = self.ledger.queries.get(heappop(self.due)[1])
-            if query is not None and query.out and not query.ended:
-                self.lines.add(query)
+        while self.due and self.due[0] <= now:
+            heappop(self.due)
         self.lines.stir()
         if self.follow_at is not None and now >= self.follow_at:
             self.follow_at = None
@@ -831,7 +800,7 @@
         if (note := self.group.step(now)) is not None:
             self.said.append(("note", note))
         if (due := self.group.due(now)) is not None:
-            heappush(self.due, (max(due, now + self.TICK), -1))
+            heappush(self.due, max(due, now + self.TICK))
         if not self.permits.probes:
             return
         if (chosen := self.group_canary(now)) is not None:
@@ -841,7 +810,7 @@
                 known.canary_out = True
                 self.probe(now, known)
             elif not known.canary_out and now >= (known.canary_due or now):  # it is cold: not ours to ask yet
-                heappush(self.due, (now + self.health.CANARY_EVERY, -1))
+                heappush(self.due, now + self.health.CANARY_EVERY)
 
     def canary_is_due(self, now: int, known: Upstream) -> bool:
         due = known.canary_due is not None and now >= known.canary_due and not known.canary_out
