--- a/maddercart/logic.py
+++ b/maddercart/logic.py
@@ -490,7 +490,6 @@
     OVER = 1.2  # times its share: the last hundred queries stray that far by chance alone
     UNHEARD = 0.25  # of the shortest agreed time: what an answer is taken to need before any was seen
     DRAWS = 3  # pairs drawn in each of the first two zones: one odd pair is no full zone
-    FURTHER = 0.2  # further dispatches after doubt, at most this share of the last ones: no storms
     LOOK = SECOND // 2  # an upstream heard within this time is not asked again
     ASKED = 2  # zones whose candidates are probed for one query: a surplus may cross, not search
     PROBE_WAIT = 30 * MILLISECOND  # for a probe's answer: well above a round trip, well under an agreed time
@@ -510,11 +509,10 @@
         self.health, self.group, self.pick = Health(chance), Group(place, chance), Pick(chance)
         self.ledger, self.lines = Ledger(offerings, permits.dispatches), Lines()
         self.offerings, self.permits = offerings, permits
-        self.growth = min(place.sidecars, 8) ** 0.5
+        self.growth = place.sidecars**0.5
         self.said: deque[Decision] = deque()
         self.due: list[int] = []  # a heap: when to look again
         self.wake_at = self.NEVER
-        self.recent: deque[bool] = deque(maxlen=50)  # the last dispatches: whether it was a further one
         self.follow_at, self.follow_failures = now if permits.follow else None, 0
         heappush(self.due, now)
         self.ranks = [sum(p.earnings > o.earnings for p in offerings) for o in offerings]
@@ -656,8 +654,7 @@
 
     def place(self, now: int, query: Query) -> Decision | None:
         """A dispatch, a final answer, or None: the query waits."""
-        too_many = bool(query.suspects) and self.recent.count(True) >= self.FURTHER * len(self.recent)
-        if too_many or not self.ledger.may_send(now, query):
+        if not self.ledger.may_send(now, query):
             return self.answer(now, query, 0)
         if self.asking(now, query):
             return None
@@ -773,7 +770,6 @@
         shot = len(query.sent)
         if canary:
             query.canaries.add(shot)
-        self.recent.append(bool(query.suspects))
         self.cold.charge(now, known)
         known.out[query.number, shot] = (now, len(known.out))
         self.answers.out[known.entry.zone][query.number, shot] = now
