--- a/maddercart/interface.py
+++ b/maddercart/interface.py
@@ -15,7 +15,6 @@
     list_failed(now)                a `follow` did not work, or the subscription broke
     take(now, query, offering, customer, remaining, key)   a query to be answered within `remaining`
     outcome(now, query, upstream, number, duration, outcome, ended, report)   how a dispatch ended
-    started(now, query)             the answer has begun to stream: the dispatch now is the client's
     left(now, query)                the client has gone; nothing is owed any more
     probed(now, upstream, ok, duration, report)   how a probe ended
     woken(now)                      a time that was asked for has come
--- a/maddercart/logic.py
+++ b/maddercart/logic.py
@@ -404,11 +404,9 @@
 class Query:
     number: int
     offering: int
-    customer: int
     effect: int
     stop: int  # after this time nothing may be said
     agreed: int
-    waits_since: int
     key: int  # 0: none, or of no use here
     asked: dict[int, list[Upstream]] = field(default_factory=dict)  # by zone: the candidates probed for it
     asks_until: int = 0  # no longer than this does it wait for them
@@ -417,7 +415,6 @@
     suspects: set[int] = field(default_factory=set)  # those that ended and may have run
     canaries: set[int] = field(default_factory=set)
     ended: bool = False
-    streams: bool = False
 
 
 class Ledger:
@@ -429,7 +426,7 @@
 
     def may_send(self, now: int, query: Query) -> bool:
         """Whether another dispatch is allowed at all; only ever one is out at a time."""
-        if query.ended or query.streams or query.out or now >= query.stop or len(query.sent) >= self.dispatches:
+        if query.ended or query.out or now >= query.stop or len(query.sent) >= self.dispatches:
             return False
         if query.suspects and query.effect == LABELLED:
             first = min(query.sent[shot][1] for shot in query.suspects)
@@ -483,11 +480,9 @@
 
 
 class Balancer:
-    PATIENCE = 0.25  # of the agreed time may pass with nothing out; the rest is needed for the answer
     SURPLUS = 0.5  # of the shortest agreed time, more by a crossing's price: home over it lets a query cross
     LATE = 0.9  # of the shortest agreed time: expected over it everywhere, a query is turned away
     YIELD, LEAST = 0.15, 0.6  # less of it for each better earning offering, which is left that much room
-    OVER = 1.2  # times its share: the last hundred queries stray that far by chance alone
     UNHEARD = 0.25  # of the shortest agreed time: what an answer is taken to need before any was seen
     DRAWS = 3  # pairs drawn in each of the first two zones: one odd pair is no full zone
     LOOK = SECOND // 2  # an upstream heard within this time is not asked again
@@ -495,7 +490,8 @@
     PROBE_WAIT = 30 * MILLISECOND  # for a probe's answer: well above a round trip, well under an agreed time
     FOLLOW_FIRST, FOLLOW_MOST = SECOND // 2, 8 * SECOND  # pauses after failed calls to the list
     NEVER = 1 << 62  # later than any clock
-    TICK = 20 * MILLISECOND  # how soon waiting queries are looked at again
+    AFTER = 40 * MILLISECOND  # the least time to come back after: a queue moves no faster
+    TICK = 20 * MILLISECOND  # no look at the group's state sooner than this after the last
 
     def __init__(
         self, now: int, seed: int, place: Place, offerings: Sequence[Offering],
@@ -516,8 +512,6 @@
         self.follow_at, self.follow_failures = now if permits.follow else None, 0
         heappush(self.due, now)
         self.ranks = [sum(p.earnings > o.earnings for p in offerings) for o in offerings]
-        self.shares = [customer.share for customer in customers]
-        self.callers: deque[int] = deque(maxlen=100)  # customers of the last queries: a share in percent
 
     # -- calls in
 
@@ -539,9 +533,8 @@
         terms = self.offerings[offering]
         agreed = now + min(remaining, terms.agreed)
         key = mix(key & 0xFFFFFFFF, key >> 32) if key and self.permits.warm_keys else 0
-        query = Query(number, offering, customer, terms.effect, now + remaining, agreed, now, key)
+        query = Query(number, offering, terms.effect, now + remaining, agreed, key)
         self.ledger.queries[number] = query
-        self.callers.append(customer)
         self.lines.add(query)
         self.answers.taken.append(now)
 
@@ -565,14 +558,9 @@
                 query.suspects.add(shot)
             if ended or query.ended:
                 self.close(query)
-            elif not query.out and not query.streams:
-                query.waits_since = now
+            elif not query.out:
                 self.lines.add(query)
 
-    def started(self, now: int, number: int) -> None:
-        if number in self.ledger.queries:
-            self.ledger.queries[number].streams = True
-
     def left(self, now: int, number: int) -> None:
         if (query := self.ledger.queries.get(number)) is not None and not query.ended:
             self.close(query)
@@ -642,8 +630,6 @@
                 continue
             if (decision := self.place(now, query)) is not None:
                 return decision
-            if not self.lines.waiting:
-                heappush(self.due, now + self.TICK)
             self.lines.waiting[query.number] = query
         if self.said:
             return self.said.popleft()
@@ -664,19 +650,13 @@
         limit = min(self.room(query), query.agreed - now)
         if self.asking(now, query):
             return None
-        if chosen is None:
-            waited = now - query.waits_since > self.PATIENCE * self.offerings[query.offering].agreed
-            return self.answer(now, query, 0) if waited or query.stop - now < 2 * self.TICK else None
-        if expected > limit and not query.suspects and self.ledger.may_bounce(query):
+        if chosen is None or (expected > limit and not query.suspects and self.ledger.may_bounce(query)):
             return self.answer(now, query, expected - limit)
         return self.dispatch(now, query, chosen, False)
 
     def room(self, query: Query) -> int:
-        """How long an answer may take: less for what earns less and for customers over their share."""
-        rank = self.ranks[query.offering]
-        if query.customer < len(self.shares) and len(self.callers) == self.callers.maxlen:
-            rank += self.callers.count(query.customer) > self.OVER * self.shares[query.customer] * 100
-        return int(self.shortest * max(self.LATE - self.YIELD * rank, self.LEAST))
+        """How long an answer may take: less for what earns less."""
+        return int(self.shortest * max(self.LATE - self.YIELD * self.ranks[query.offering], self.LEAST))
 
     def choose(self, now: int, query: Query) -> tuple[Upstream | None, int]:
         """The pick in the first zone that can answer in time; else the soonest of the picks."""
@@ -775,13 +755,12 @@
         self.answers.out[known.entry.zone][query.number, shot] = now
         query.sent.append((known, now))
         query.out.add(shot)
-        self.lines.drop(query)
         return ("dispatch", query.number, known.entry.upstream, query.stop - now)
 
     def answer(self, now: int, query: Query, after: int) -> Decision:
         """The final answer to a query that is given up on."""
         bounce = self.ledger.may_bounce(query)
-        after = min(max(after, 2 * self.TICK), self.permits.come_back)
+        after = min(max(after, self.AFTER), self.permits.come_back)
         self.close(query)
         wait = int(after * self.spread(0.75, 1.0))
         return ("bounce", query.number, wait) if bounce else ("abort", query.number)
--- a/maddercart/wirehost/host.py
+++ b/maddercart/wirehost/host.py
@@ -94,8 +94,6 @@
             balancer.probed(now, upstream, status == DONE, round(duration * SECOND), report)
         elif code == f.VANISHED:
             balancer.left(now, f.VANISHED_BODY.unpack_from(body, at)[0])
-        elif code == f.FIRST:
-            balancer.started(now, f.FIRST_BODY.unpack_from(body, at)[0])
         elif code == f.TOPOLOGY:
             kind, _, number = f.TOPOLOGY_BODY.unpack_from(body, at)
             if kind == 3:
@@ -104,7 +102,7 @@
                 raise FrameError(f"record {at // f.EVENT_SIZE}: inventory {number} was never sent")
             else:
                 balancer.learn(now, self.inventories[number], kind != 0)
-        elif code != f.PEER:
+        elif code not in (f.PEER, f.FIRST):  # peers say nothing to us; a stream is the client's own
             raise FrameError(f"record {at // f.EVENT_SIZE}: event code {code} is unknown")
 
     def report(self, instance: int, n: int, values: list[float]) -> Report:
