--- a/maddercart/logic.py
+++ b/maddercart/logic.py
@@ -16,7 +16,6 @@
 from collections import deque
 from collections.abc import Sequence
 from dataclasses import dataclass, field
-from heapq import heappop, heappush
 from itertools import chain, islice
 from random import Random
 
@@ -50,7 +49,7 @@
         self.sent_cold: deque[int] = deque()  # when it was sent each of the last queries while cold
         self.report: tuple[int, Report] | None = None  # when heard
         self.failures = self.pauses = 0  # in a row, below 0 successes; since it was last well
-        self.canary_due: int | None = None  # set while ejected
+        self.canary_due = 0  # set while ejected
         self.canary_out, self.probe_out = False, False
 
     def heard(self, now: int, within: int) -> bool:
@@ -124,7 +123,7 @@
         """Only after a change of the list, an ejection or a return, or when one has become warm."""
         if now < self.sort_at:
             return
-        well = [[known for known in zone if known.canary_due is None] for zone in self.zones]
+        well = [[known for known in zone if not known.canary_due] for zone in self.zones]
         self.usable = [[known for known in zone if not self.is_cold(now, known)] for zone in well]
         self.cold = [[known for known in zone if self.is_cold(now, known)] for zone in well]
         self.sort_at = min((k.entry.launched + self.ramp for k in chain(*self.cold)), default=1 << 62)
@@ -222,7 +221,7 @@
         known.failures = min(0, known.failures - 1) if good else max(0, known.failures) + 1
         if known.failures <= -self.WELL:
             known.pauses = 0
-        if known.canary_due is not None or known.failures < self.IN_A_ROW:
+        if known.canary_due or known.failures < self.IN_A_ROW:
             return False
         self.postpone(now, known)
         return True
@@ -236,11 +235,11 @@
         self.ejected[known.entry.upstream] = known
 
     def canary(self, now: int, known: Upstream, good: bool) -> None:
-        if good and known.canary_due is not None:
-            self.ejected.pop(known.entry.upstream, None)
-            known.canary_due, known.canary_out, known.failures = None, False, 0
-        elif known.canary_due is not None:
+        if not good:
             self.postpone(now, known)
+        elif known.canary_due:
+            del self.ejected[known.entry.upstream]
+            known.canary_due, known.canary_out, known.failures = 0, False, 0
 
 
 PRIMARY, FAILOVER, BACKUP, RECOVERY = "PRIMARY", "FAILOVER", "BACKUP", "RECOVERY"
@@ -323,14 +322,12 @@
             self.canary(now, False)
         return f"{before} to {self.state}" if self.state != before else None
 
-    def due(self, now: int) -> int | None:
+    def due(self, now: int) -> int:
         """When there is something to step to, if nothing comes in before."""
-        if self.canary_zone is not None:
-            return self.canary_until
-        if self.state in (BACKUP, RECOVERY):
-            return self.timer
+        if self.canary_zone is not None or self.state in (BACKUP, RECOVERY):
+            return self.timer if self.canary_zone is None else self.canary_until
         stretched = self.failed[0] + self.STRETCH if len(self.failed) > 1 else 0
-        return stretched if stretched > now else None
+        return stretched if stretched > now else 1 << 62
 
     def canary(self, now: int, good: bool) -> None:
         zone, self.canary_zone = self.canary_zone, None
@@ -414,7 +411,7 @@
     out: set[int] = field(default_factory=set)  # numbers of the dispatches without an outcome
     suspects: set[int] = field(default_factory=set)  # those that ended and may have run
     canaries: set[int] = field(default_factory=set)
-    ended: bool = False
+    ended: bool = False  # what is still out is no use any more
 
 
 class Ledger:
@@ -434,8 +431,10 @@
         return not query.suspects or query.effect == REDOABLE
 
     def may_go_to(self, query: Query, known: Upstream) -> bool:
-        """Whether this one may: repeats of a labelled query stay where they are dropped."""
+        """Never one twice; repeats of a labelled query stay where they are dropped."""
         group = self.offerings[query.offering].group
+        if any(known is where for where, _ in query.sent):
+            return False
         if query.effect != LABELLED or group not in (SAME_ZONE, SAME_CELL):
             return True
         ran = [query.sent[shot][0].entry for shot in query.suspects]
@@ -448,35 +447,24 @@
         group = self.offerings[query.offering].group
         return query.effect == LABELLED and group not in (SAME_ZONE, SAME_CELL)
 
-    def end(self, query: Query) -> None:
-        query.ended = True
-        if not query.out:
-            self.queries.pop(query.number, None)
-
 
 class Lines:
-    """Queries to be placed: first dispatches, then further ones; those that found no place wait apart."""
+    """Queries to be placed: first dispatches, then further ones; those that wait for a probe stand apart."""
 
     def __init__(self) -> None:
-        self.first, self.further, self.waiting = dict[int, Query](), dict[int, Query](), dict[int, Query]()
+        self.first, self.further, self.waiting = deque[Query](), deque[Query](), deque[Query]()
 
     def add(self, query: Query) -> None:
-        (self.further if query.sent else self.first)[query.number] = query
-
-    def drop(self, query: Query) -> None:
-        self.waiting.pop(query.number, None)
-        self.first.pop(query.number, None)
-        self.further.pop(query.number, None)
+        (self.further if query.sent else self.first).append(query)
 
     def next(self) -> Query | None:
         line = self.first or self.further
-        return line.pop(next(iter(line))) if line else None
+        return line.popleft() if line else None
 
     def stir(self) -> None:
         """What can be sent may have changed: those that wait are looked at again."""
-        for query in self.waiting.values():
-            self.add(query)
-        self.waiting.clear()
+        while self.waiting:
+            self.add(self.waiting.popleft())
 
 
 class Balancer:
@@ -489,9 +477,9 @@
     ASKED = 2  # zones whose candidates are probed for one query: a surplus may cross, not search
     PROBE_WAIT = 30 * MILLISECOND  # for a probe's answer: well above a round trip, well under an agreed time
     FOLLOW_FIRST, FOLLOW_MOST = SECOND // 2, 8 * SECOND  # pauses after failed calls to the list
+    AFTER = 40 * MILLISECOND  # the least time to come back after: no queue turns sooner
+    TICK = 20 * MILLISECOND  # the group's state is not looked at again sooner than this
     NEVER = 1 << 62  # later than any clock
-    AFTER = 40 * MILLISECOND  # the least time to come back after: a queue moves no faster
-    TICK = 20 * MILLISECOND  # no look at the group's state sooner than this after the last
 
     def __init__(
         self, now: int, seed: int, place: Place, offerings: Sequence[Offering],
@@ -504,14 +492,11 @@
         self.answers = Answers(now, place.zones, int(self.shortest * self.UNHEARD))
         self.health, self.group, self.pick = Health(chance), Group(place, chance), Pick(chance)
         self.ledger, self.lines = Ledger(offerings, permits.dispatches), Lines()
-        self.offerings, self.permits = offerings, permits
-        self.growth = place.sidecars**0.5
-        self.said: deque[Decision] = deque()
-        self.due: list[int] = []  # a heap: when to look again
-        self.wake_at = self.NEVER
-        self.follow_at, self.follow_failures = now if permits.follow else None, 0
-        heappush(self.due, now)
+        self.offerings, self.permits, self.growth = offerings, permits, place.sidecars**0.5
         self.ranks = [sum(p.earnings > o.earnings for p in offerings) for o in offerings]
+        self.said: deque[Decision] = deque()
+        self.look_at, self.wake_at = now, self.NEVER  # when there is something to do; the timer that is out
+        self.follow_at, self.follow_failures = now if permits.follow else self.NEVER, 0
 
     # -- calls in
 
@@ -520,38 +505,32 @@
         by_id, ejected = self.roster.by_id, self.health.ejected
         self.health.ejected = {n: known for n, known in ejected.items() if by_id[n] is known}
         self.group.lay(self.roster.zones)
-        self.follow_failures = 0
-        self.lines.stir()
+        self.follow_failures, self.look_at = 0, now
 
     def list_failed(self, now: int) -> None:
         pause = min(self.FOLLOW_FIRST << min(self.follow_failures, 5), self.FOLLOW_MOST)
         self.follow_failures += 1
         self.follow_at = now + int(pause * self.spread(0.5, 1.5))
-        heappush(self.due, self.follow_at)
+        self.look_at = min(self.look_at, self.follow_at)
 
     def take(self, now: int, number: int, offering: int, customer: int, remaining: int, key: int) -> None:
         terms = self.offerings[offering]
-        agreed = now + min(remaining, terms.agreed)
         key = mix(key & 0xFFFFFFFF, key >> 32) if key and self.permits.warm_keys else 0
-        query = Query(number, offering, terms.effect, now + remaining, agreed, key)
-        self.ledger.queries[number] = query
-        self.lines.add(query)
+        agreed = now + min(remaining, terms.agreed)
+        self.ledger.queries[number] = Query(number, offering, terms.effect, now + remaining, agreed, key)
+        self.lines.add(self.ledger.queries[number])
         self.answers.taken.append(now)
 
     def outcome(
         self, now: int, number: int, upstream: int, shot: int, duration: int, outcome: int, ended: bool,
         report: Report | None,
     ) -> None:  # fmt: skip
-        known = self.roster.by_id.get(upstream)
-        query = self.ledger.queries.get(number)
-        canary = query is not None and shot in query.canaries
-        if known is not None:
-            sent = known.out.pop((number, shot), None)
+        known, query = self.roster.by_id.get(upstream), self.ledger.queries.get(number)
+        if known is not None and (sent := known.out.pop((number, shot), None)) is not None:
             self.answers.out[known.entry.zone].pop((number, shot), None)
-            if report is not None:
-                known.report = (now, report)
-            if sent is not None and outcome != MOOT:
-                self.judge(now, known, outcome, duration, sent[1], canary)
+            known.report = (now, report) if report is not None else known.report
+            if outcome not in (CANCELLED, FULL, MOOT):
+                self.judge(now, known, outcome, duration, sent[1], query is not None and shot in query.canaries)
         if query is not None:
             query.out.discard(shot)
             if outcome not in NEVER_RAN:
@@ -566,13 +545,11 @@
             self.close(query)
 
     def probed(self, now: int, upstream: int, ok: bool, duration: int, report: Report | None) -> None:
-        if (known := self.roster.by_id.get(upstream)) is None:
-            return
-        known.probe_out = False
-        self.lines.stir()
-        if report is not None:
-            known.report = (now, report)
-        self.canary_back(now, known, ok and not self.lags(duration))
+        if (known := self.roster.by_id.get(upstream)) is not None:
+            known.probe_out = False
+            known.report = (now, report) if report is not None else known.report
+            self.canary_back(now, known, ok and not self.lags(duration))
+            self.lines.stir()
 
     def woken(self, now: int) -> None:
         if now >= self.wake_at - MILLISECOND:  # else an earlier timer has taken this one's place
@@ -581,33 +558,28 @@
     # -- bookkeeping
 
     def judge(self, now: int, known: Upstream, outcome: int, duration: int, then: int, canary: bool) -> None:
-        if outcome in (CANCELLED, FULL):
-            return
-        timed = outcome in (DONE, TIMED_OUT)
-        good = timed and not self.lags(duration)  # a time-out as long as others' answers is no failure
-        if timed:
+        good = outcome in (DONE, TIMED_OUT)  # a time-out as long as others' answers is no failure
+        if good:
             known.samples.append((now, duration, then))
             self.answers.add(now, known.entry.zone, duration)
+            good = not self.lags(duration)
         if canary:
             self.canary_back(now, known, good)
             return
         if self.health.judge(now, known, good):
             self.said.append(("note", f"ejected {known.entry.upstream}"))
-            heappush(self.due, known.canary_due or now)
-            self.roster.sort_at = 0
+            self.roster.sort_at = self.look_at = now
         if outcome in (DONE, UNREACHABLE, RESET, TIMED_OUT):
             self.group.heard(now, known.entry.zone, outcome == DONE)
-            if outcome != DONE:
-                heappush(self.due, now)
+            self.look_at = self.look_at if outcome == DONE else now
 
     def canary_back(self, now: int, known: Upstream, good: bool) -> None:
         if known.canary_out:
             self.health.canary(now, known, good)
-            heappush(self.due, known.canary_due or now)
-            self.roster.sort_at = 0
+            self.roster.sort_at = self.look_at = now
         if self.group.canary_sent and known.entry.zone == self.group.canary_zone:
             self.group.canary(now, good)
-            heappush(self.due, now)
+            self.look_at = now
 
     def lags(self, duration: int) -> bool:
         """Guards against upstreams many times slower than the rest, which never quite fail."""
@@ -617,42 +589,74 @@
         """The query has its final answer; what is still out is worth nothing to anyone."""
         if not query.ended and self.permits.cancel:
             self.said.extend(("cancel", query.number, shot) for shot in sorted(query.out))
-        self.lines.drop(query)
-        self.ledger.end(query)
+        query.ended = True
+        if not query.out:
+            self.ledger.queries.pop(query.number, None)
 
     # -- decisions out
 
     def decide(self, now: int) -> Decision | None:
-        if self.due and self.due[0] <= now:
+        if self.look_at <= now:
             self.look(now)
         while not self.said and (query := self.lines.next()) is not None:
-            if query.ended:
-                continue
-            if (decision := self.place(now, query)) is not None:
+            if not query.ended and (decision := self.place(now, query)) is not None:
                 return decision
-            self.lines.waiting[query.number] = query
         if self.said:
             return self.said.popleft()
-        if self.due and self.due[0] < self.wake_at:
-            self.wake_at = self.due[0]
+        if self.look_at < self.wake_at:
+            self.wake_at = self.look_at
             return ("wake", self.wake_at - now)
         return None
 
+    def look(self, now: int) -> None:
+        """What is due by the clock; nothing is asked of the host while nothing is."""
+        self.lines.stir()
+        if now >= self.follow_at:
+            self.follow_at = self.NEVER
+            self.said.append(("follow",))
+        if (note := self.group.step(now)) is not None:
+            self.said.append(("note", note))
+        self.look_at = min(self.follow_at, max(self.group.due(now), now + self.TICK))
+        if self.permits.probes:
+            while (known := self.next_canary(now)) is not None:
+                self.probe(known)
+            for known in self.health.ejected.values():
+                if not known.canary_out:
+                    self.look_at = min(self.look_at, max(known.canary_due, now + self.health.CANARY_EVERY))
+
+    def next_canary(self, now: int) -> Upstream | None:
+        """The upstream that is due a canary: one of the zone that the group asks, else one that is ejected."""
+        group, work = self.group, self.work()
+        if group.canary_zone is not None and not group.canary_sent:
+            zone = self.roster.zones[group.canary_zone]
+            may = [known for known in zone if not known.probe_out and self.cold.allows(now, known, work)]
+            if may:
+                group.canary_sent = True
+                return self.pick.better(now, self.pick.pair(may), may)
+        for known in self.health.ejected.values():
+            free = not (known.canary_out or known.probe_out) and known.entry.condition == READY
+            if now >= known.canary_due and free and self.cold.allows(now, known, work):
+                known.canary_out = True
+                return known
+        return None
+
     def place(self, now: int, query: Query) -> Decision | None:
-        """A dispatch, a final answer, or None: the query waits."""
+        """A dispatch, a final answer, or None: the query waits for a probe."""
         if not self.ledger.may_send(now, query):
             return self.answer(now, query, 0)
+        if not (self.permits.probes or query.sent) and query.effect == REDOABLE:
+            if (canary := self.next_canary(now)) is not None:
+                query.canaries.add(0)
+                return self.dispatch(now, query, canary)
+        chosen, expected = (None, 0) if self.asking(now, query) else self.choose(now, query)
         if self.asking(now, query):
+            self.lines.waiting.append(query)
+            self.look_at = min(self.look_at, query.asks_until)
             return None
-        if (canary := self.canary_target(now, query)) is not None:
-            return self.dispatch(now, query, canary, True)
-        chosen, expected = self.choose(now, query)
         limit = min(self.room(query), query.agreed - now)
-        if self.asking(now, query):
-            return None
         if chosen is None or (expected > limit and not query.suspects and self.ledger.may_bounce(query)):
             return self.answer(now, query, expected - limit)
-        return self.dispatch(now, query, chosen, False)
+        return self.dispatch(now, query, chosen)
 
     def room(self, query: Query) -> int:
         """How long an answer may take: less for what earns less."""
@@ -678,8 +682,7 @@
                 pair = [known for known in pair if not known.probe_out and (known in ready or known in fed)]
                 pace = max(pace, min([known.reported(now, typical) for known in pair], default=0))
             for draw in range(self.DRAWS if place < 2 else 1):
-                pair = pair or self.pick.pair(ready)
-                if not pair:
+                if not (pair := pair or self.pick.pair(ready)):
                     break
                 chosen = self.pick.better(now, pair, ready, not draw and pair[0] is favourite)
                 if chosen in fed:
@@ -695,15 +698,12 @@
 
     def candidates(self, now: int, query: Query, zone: int) -> tuple[list[Upstream], list[Upstream]]:
         """The upstreams of a zone that may get this query: warm ones, and a cold one that is ours to feed."""
-        queries, span = len(self.answers.taken), self.answers.span(now)
-        ready = self.roster.members(zone, queries, span)
+        ready = self.roster.members(zone, len(self.answers.taken), self.answers.span(now))
         fed = [known for known in self.roster.cold[zone] if self.cold.allows(now, known, self.work())]
         if query.sent:
-            tried = {where for where, _ in query.sent}
-            left = [known for known in self.roster.usable[zone] if known not in tried]
-            left = [known for known in left if self.ledger.may_go_to(query, known)]
-            ready = [known for known in ready if known in left] or left
-            fed = [known for known in fed if known not in tried and self.ledger.may_go_to(query, known)]
+            may = [known for known in self.roster.usable[zone] + fed if self.ledger.may_go_to(query, known)]
+            fed = [known for known in fed if known in may]
+            ready = [known for known in ready if known in may] or [known for known in may if known not in fed]
         return ready, fed[int(self.pick.draw() * len(fed)) :][:1]
 
     def work(self) -> int:
@@ -719,37 +719,17 @@
         if len(query.asked) == self.ASKED:
             return False
         query.asked[zone], query.asks_until = pair, now + self.PROBE_WAIT
-        heappush(self.due, query.asks_until)
         for known in pair:
             if not known.probe_out and not known.heard(now, self.LOOK):
-                self.probe(now, known)
+                self.probe(known)
         return True
 
-    def group_canary(self, now: int) -> Upstream | None:
-        """The upstream of the zone in question that gets the group's canary, if one is due."""
-        if self.group.canary_zone is None or self.group.canary_sent:
-            return None
-        zone = self.roster.zones[self.group.canary_zone]
-        may = [k for k in zone if not k.probe_out and self.cold.allows(now, k, self.work())]
-        self.group.canary_sent = bool(may)
-        return self.pick.better(now, self.pick.pair(may), may) if may else None
-
-    def canary_target(self, now: int, query: Query) -> Upstream | None:
-        """Where probes are not allowed, a redoable query's first dispatch serves as the canary."""
-        if self.permits.probes or query.effect != REDOABLE or query.sent:
-            return None
-        if (chosen := self.group_canary(now)) is not None:
-            return chosen
-        for known in self.health.ejected.values():
-            if self.canary_is_due(now, known):
-                known.canary_out = True
-                return known
-        return None
+    def probe(self, known: Upstream) -> None:
+        known.probe_out = True
+        self.said.append(("probe", known.entry.upstream))
 
-    def dispatch(self, now: int, query: Query, known: Upstream, canary: bool) -> Decision:
+    def dispatch(self, now: int, query: Query, known: Upstream) -> Decision:
         shot = len(query.sent)
-        if canary:
-            query.canaries.add(shot)
         self.cold.charge(now, known)
         known.out[query.number, shot] = (now, len(known.out))
         self.answers.out[known.entry.zone][query.number, shot] = now
@@ -760,38 +740,6 @@
     def answer(self, now: int, query: Query, after: int) -> Decision:
         """The final answer to a query that is given up on."""
         bounce = self.ledger.may_bounce(query)
-        after = min(max(after, self.AFTER), self.permits.come_back)
         self.close(query)
-        wait = int(after * self.spread(0.75, 1.0))
-        return ("bounce", query.number, wait) if bounce else ("abort", query.number)
-
-    def look(self, now: int) -> None:
-        while self.due and self.due[0] <= now:
-            heappop(self.due)
-        self.lines.stir()
-        if self.follow_at is not None and now >= self.follow_at:
-            self.follow_at = None
-            self.said.append(("follow",))
-        if (note := self.group.step(now)) is not None:
-            self.said.append(("note", note))
-        if (due := self.group.due(now)) is not None:
-            heappush(self.due, max(due, now + self.TICK))
-        if not self.permits.probes:
-            return
-        if (chosen := self.group_canary(now)) is not None:
-            self.probe(now, chosen)
-        for known in self.health.ejected.values():
-            if self.canary_is_due(now, known):
-                known.canary_out = True
-                self.probe(now, known)
-            elif not known.canary_out and now >= (known.canary_due or now):  # it is cold: not ours to ask yet
-                heappush(self.due, now + self.health.CANARY_EVERY)
-
-    def canary_is_due(self, now: int, known: Upstream) -> bool:
-        due = known.canary_due is not None and now >= known.canary_due and not known.canary_out
-        ready = known.entry.condition == READY and not known.probe_out
-        return due and ready and self.cold.allows(now, known, self.work())
-
-    def probe(self, now: int, known: Upstream) -> None:
-        known.probe_out = True
-        self.said.append(("probe", known.entry.upstream))
+        wait = min(max(after, self.AFTER), self.permits.come_back) * self.spread(0.75, 1.0)
+        return ("bounce", query.number, int(wait)) if bounce else ("abort", query.number)
