--- a/maddercart/interface.py
+++ b/maddercart/interface.py
@@ -13,7 +13,7 @@
 Calls in
     learn(now, entries, whole)      the list, or what changed on it; `whole` if everything else is gone
     list_failed(now)                a `follow` did not work, or the subscription broke
-    take(now, query, offering, customer, remaining, key)   a query to be answered within `remaining`
+    take(now, query, offering, remaining, key)   a query to be answered within `remaining`; key 0: none
     outcome(now, query, upstream, number, duration, outcome, ended, report)   how a dispatch ended
     left(now, query)                the client has gone; nothing is owed any more
     probed(now, upstream, ok, duration, report)   how a probe ended
@@ -96,13 +96,6 @@
     late_earnings: float
 
 
-class Customer(NamedTuple):
-    """A customer and the queries a second, over all sidecars, that its share covers."""
-
-    share: float
-    quota: float
-
-
 class Place(NamedTuple):
     """Where this sidecar stands."""
 
@@ -125,7 +118,6 @@
     """What the settings allow."""
 
     dispatches: int
-    copies: bool
     cancel: bool
     probes: bool
     come_back: int
--- a/maddercart/logic.py
+++ b/maddercart/logic.py
@@ -1,9 +1,8 @@
 """All decisions of maddercart: zone groups with canary-confirmed failover.
 
 A host makes one `Balancer` per sidecar, calls it for all that happens and then pulls `decide` until it
-answers None; calls and answers are documented in `maddercart/interface.py`. The design is that of
-docs/design.md: own zone group, failover and return by canaries, ejection after three failures in a row,
-the better of two random ready upstreams. Mechanisms beside it, with the conditions in docs/design.md:
+answers None; calls and answers are documented in `maddercart/interface.py`. Mechanisms beside the design,
+of which docs/design.md tells, with the conditions under which each acts:
 
  1. surplus      a query crosses zones only while its own zone cannot answer in time and another can
  2. early bounce a query is turned away when no upstream that may get it can answer it in time
@@ -17,12 +16,13 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from itertools import chain, islice
+from operator import attrgetter
 from random import Random
 
 from maddercart.interface import (
-    CANCELLED, DONE, FULL, GONE, LABELLED, MILLISECOND, MOOT, NEVER_RAN, READY, REDOABLE,
-    RESET, SAME_CELL, SAME_ZONE, SECOND, TIMED_OUT, UNREACHABLE, ColdRule, Customer, Decision, Entry,
-    Offering, Permits, Place, Report,
+    CANCELLED, DONE, EVERYWHERE, FULL, GONE, LABELLED, MILLISECOND, MOOT, NEVER_RAN, READY,
+    REDOABLE, RESET, SAME_ZONE, SECOND, TIMED_OUT, UNREACHABLE, ColdRule, Decision, Entry, Offering,
+    Permits, Place, Report,
 )  # fmt: skip
 
 
@@ -39,12 +39,12 @@
 
     SAMPLES = 8  # enough for a median that one odd answer cannot move, few enough to follow a change
     FEW = 4  # fewer answers than this are filled up with the middle one of all: one odd answer is no queue
-    REPORT_FRESH = SECOND // 2  # an older report tells of a queue that has turned
+    HEARD = SECOND // 2  # an older report tells of a queue that has turned: who was heard is not probed
 
-    def __init__(self, entry: Entry, rank: int) -> None:
-        self.entry, self.size = entry, max(1.0, entry.size)
-        self.rank, self.salt = rank, mix(entry.upstream, 1)  # its place in our set; in the keys' orders
-        self.out: dict[tuple[int, int], tuple[int, int]] = {}  # dispatch: when sent, how many were out
+    def __init__(self, entry: Entry, rank: int, out: dict[tuple[int, int], tuple[int, int]]) -> None:
+        self.entry, self.size, self.warm_at = entry, 1.0, 0
+        self.rank = rank  # its place in our set
+        self.out = out  # dispatch: when sent, how many were out
         self.samples: deque[tuple[int, int, int]] = deque(maxlen=self.SAMPLES)  # end, duration, out then
         self.sent_cold: deque[int] = deque()  # when it was sent each of the last queries while cold
         self.report: tuple[int, Report] | None = None  # when heard
@@ -52,31 +52,28 @@
         self.canary_due = 0  # set while ejected
         self.canary_out, self.probe_out = False, False
 
-    def heard(self, now: int, within: int) -> bool:
+    def heard(self, now: int) -> bool:
         """Whether an answer or a report has come from it lately."""
-        answered = bool(self.samples) and now - self.samples[-1][0] < within
-        return answered or (self.report is not None and now - self.report[0] < within)
+        answered = bool(self.samples) and now - self.samples[-1][0] < self.HEARD
+        return answered or (self.report is not None and now - self.report[0] < self.HEARD)
 
     def reported(self, now: int, typical: int) -> int:
         """How long a query would take by its report, while that is fresh."""
-        if self.report is None or now - self.report[0] >= self.REPORT_FRESH:
+        if self.report is None or now - self.report[0] >= self.HEARD:
             return 0
         held = max(self.report[1].held + 1, self.report[1].waiting + self.size)
-        durations = sorted([duration for _, duration, _ in self.samples])
-        service = durations[len(durations) // 4] if durations else typical
-        return int(service * max(1.0, held / self.size))
-
-    def expected(self, now: int, typical: int, pace: int, growth: float, fresh: int) -> int:
-        """How long one more query would take here: from the last few answers while they are fresh and those
-        still owed, else as long as its zone lately took. The others' loads move as ours does, each on its
-        own: deviations add up by their root, which is `growth`."""
+        return int(typical * max(1.0, held / self.size))
+
+    def expected(self, now: int, typical: int, pace: int, growth: float) -> int:
+        """How long one more query would take here: by the last few answers while they are fresh, else as long
+        as its zone lately took. The others' loads move as ours does, each on its own: `growth` is a root."""
         out, fade, here = len(self.out), 0.0, 0.0
         if self.samples:
             durations = [duration for _, duration, _ in self.samples]
             durations = sorted(durations + [typical] * (self.FEW - len(durations)))
             service, base = durations[len(durations) // 4], durations[len(durations) // 2]
             then = sum([then for _, _, then in self.samples]) / len(self.samples)
-            fade = max(0.0, 1 - (now - self.samples[-1][0]) / fresh)
+            fade = max(0.0, 1 - (now - self.samples[-1][0]) / Answers.FRESH)
             here = max(base + growth * (out - then) * base / max(self.size, then + 1), service / 2)
         else:
             pace += int(max(0.0, (growth * out + 1) / self.size - 1) * typical)
@@ -100,49 +97,41 @@
 
     def learn(self, entries: Sequence[Entry], whole: bool) -> None:
         """An upstream that drains or is gone leaves its zone at once: no use is made of the grace."""
-        if whole:
-            for old in self.by_id.values():
-                old.entry = old.entry._replace(condition=GONE)
+        for old in self.by_id.values() if whole else ():
+            old.entry = old.entry._replace(condition=GONE)
         for entry in entries:
             known = self.by_id.get(entry.upstream)
             if known is None or entry.launched > known.entry.launched:
-                fresh = self.by_id[entry.upstream] = Upstream(entry, mix(self.number, entry.upstream))
-                if known is not None:  # it restarted: all but what is still out was of another process
-                    fresh.out = known.out
-            else:
-                known.entry, known.size = entry, max(1.0, entry.size)
+                out = known.out if known else {}  # it restarted: all else was of another process
+                known = self.by_id[entry.upstream] = Upstream(entry, mix(self.number, entry.upstream), out)
+                known.warm_at = entry.launched + self.ramp if entry.launched else 0
+            known.entry, known.size = entry, max(1.0, entry.size)
         ready = [known for known in self.by_id.values() if known.entry.condition == READY]
         ready.sort(key=lambda known: known.rank, reverse=True)
         self.zones = [[k for k in ready if k.entry.zone == zone] for zone in range(len(self.zones))]
         self.sort_at = 0
 
-    def is_cold(self, now: int, known: Upstream) -> bool:
-        return known.entry.launched != 0 and now - known.entry.launched < self.ramp
-
     def sort(self, now: int) -> None:
-        """Only after a change of the list, an ejection or a return, or when one has become warm."""
-        if now < self.sort_at:
-            return
+        """Due only after a change of the list, an ejection or a return, or when one has become warm."""
         well = [[known for known in zone if not known.canary_due] for zone in self.zones]
-        self.usable = [[known for known in zone if not self.is_cold(now, known)] for zone in well]
-        self.cold = [[known for known in zone if self.is_cold(now, known)] for zone in well]
-        self.sort_at = min((k.entry.launched + self.ramp for k in chain(*self.cold)), default=1 << 62)
+        self.usable = [[known for known in zone if known.warm_at <= now] for zone in well]
+        self.cold = [[known for known in zone if known.warm_at > now] for zone in well]
+        self.sort_at = min((known.warm_at for known in chain(*self.cold)), default=1 << 62)
 
-    def members(self, zone: int, queries: int, span: int) -> list[Upstream]:
+    def members(self, now: int, zone: int, taken: Sequence[int]) -> list[Upstream]:
         """The upstreams of a zone that we use: those ranking highest in a hash of our number and theirs. One
         that drains, is ejected or is cold is replaced by the next in rank, and nothing else moves."""
-        return self.usable[zone][: max(self.LEAST, queries * self.MEET // span)]
+        return self.usable[zone][: max(self.LEAST, len(taken) * self.MEET // max(SECOND, now - taken[0]))]
 
 
 class Answers:
     """What the last answers of all upstreams tell: times, and how much of it is still true."""
 
-    FRESH = 3 * SECOND  # older samples tell of another load; about the time that a queue takes to turn
-    FRESH_MOST = 12 * SECOND  # with little traffic an old sample is better than none
+    FRESH = 12 * SECOND  # a sample fades as long: with little traffic an old one is better than none
 
     def __init__(self, now: int, zones: int, unheard: int) -> None:
-        self.began, self.unheard = now, unheard
-        self.taken: deque[int] = deque(maxlen=32)  # when the last queries came: our own rate
+        self.unheard = unheard
+        self.taken: deque[int] = deque([now], maxlen=32)  # when the last queries came: our own rate
         self.durations: deque[int] = deque([unheard] * 8, maxlen=32)  # of the last answers; first a guess
         self.typical = self.quarter = unheard  # the middle one of these, and the lower quarter
         # By zone: the last answers, when and how long; when each dispatch was sent that is still out.
@@ -155,18 +144,9 @@
         durations = sorted(self.durations)
         self.typical, self.quarter = durations[len(durations) // 2], durations[len(durations) // 4]
 
-    def span(self, now: int) -> int:
-        """The time in which the last queries came."""
-        return max(SECOND, now - (self.taken[0] if len(self.taken) == self.taken.maxlen else self.began))
-
-    def fresh(self, now: int, upstreams: int) -> int:
-        """How long a sample counts: until so many upstreams would each have been met twice."""
-        met = self.span(now) * 2 * upstreams // max(1, len(self.taken))
-        return min(max(self.FRESH, met), self.FRESH_MOST)
-
-    def pace(self, now: int, zone: int, fresh: int) -> int:
+    def pace(self, now: int, zone: int) -> int:
         """What an answer lately took in a zone; a dispatch overdue there counts before its answer comes."""
-        took = [duration for at, duration in self.last[zone] if at > now - fresh]
+        took = [duration for at, duration in self.last[zone] if at > now - self.FRESH]
         took += [now - at for at in islice(self.out[zone].values(), 16) if now - at > self.typical]
         took += [min(self.typical, self.unheard)] * (Upstream.FEW - len(took))
         return sum(took) // len(took)
@@ -182,27 +162,22 @@
 
     def share(self, now: int, known: Upstream) -> float:
         """The least part of its capacity that it has by now, by the settings."""
-        age = max(0, now - known.entry.launched)
-        if not known.entry.launched or age >= self.cold.ramp:
-            return 1.0
-        return self.cold.start + (1 - self.cold.start) * age / self.cold.ramp
+        missing = min(max(known.warm_at - now, 0), self.cold.ramp) / max(self.cold.ramp, 1)
+        return 1 - (1 - self.cold.start) * missing
 
     def allows(self, now: int, known: Upstream, work: int) -> bool:
         """What it can take over a window is dealt out in whole queries along the ring of sidecars, from a
         hash of its id on: whoever carries the most traffic, the parts add up to no more."""
-        if (share := self.share(now - self.cold.window, known)) == 1.0:
+        if now - self.cold.window >= known.warm_at:
             return True
-        queries = int(self.cold.multiple * share * known.size * self.cold.window / (work * self.HEAVY))
+        share = self.share(now - self.cold.window, known) * self.cold.multiple
+        queries = int(share * known.size * self.cold.window / (work * self.HEAVY))
         place = (self.number - mix(known.entry.upstream, 0)) % self.sidecars
         part = queries // self.sidecars + (place < queries % self.sidecars)
         while known.sent_cold and known.sent_cold[0] <= now - self.cold.window:
             known.sent_cold.popleft()
         return len(known.sent_cold) < part
 
-    def charge(self, now: int, known: Upstream) -> None:
-        if self.share(now, known) < 1.0:
-            known.sent_cold.append(now)
-
 
 class Health:
     """Judges each answer, ejects an upstream and lets it back after a canary."""
@@ -216,8 +191,7 @@
         self.spread = chance.uniform
         self.ejected: dict[int, Upstream] = {}
 
-    def judge(self, now: int, known: Upstream, good: bool) -> bool:
-        """Counts one answer of a query; True if it ejects the upstream."""
+    def judge(self, now: int, known: Upstream, good: bool) -> bool:  # true if it ejects the upstream
         known.failures = min(0, known.failures - 1) if good else max(0, known.failures) + 1
         if known.failures <= -self.WELL:
             known.pauses = 0
@@ -228,18 +202,16 @@
 
     def postpone(self, now: int, known: Upstream) -> None:
         # Grows by each canary that fails too: many sidecars asking one dead process cost a query each.
-        known.pauses += 1
+        known.pauses, known.canary_out = known.pauses + 1, False
         pause = min(self.CANARY_EVERY * known.pauses, self.CANARY_MOST)
         known.canary_due = now + int(pause * self.spread(0.8, 1.2))
-        known.canary_out = False
         self.ejected[known.entry.upstream] = known
 
     def canary(self, now: int, known: Upstream, good: bool) -> None:
         if not good:
-            self.postpone(now, known)
-        elif known.canary_due:
-            del self.ejected[known.entry.upstream]
-            known.canary_due, known.canary_out, known.failures = 0, False, 0
+            return self.postpone(now, known)
+        self.ejected.pop(known.entry.upstream, None)
+        known.canary_due, known.canary_out, known.failures = 0, False, 0
 
 
 PRIMARY, FAILOVER, BACKUP, RECOVERY = "PRIMARY", "FAILOVER", "BACKUP", "RECOVERY"
@@ -250,8 +222,7 @@
 
     FAILURES = 6  # twice what ejects one upstream: no single one can bring the group down
     WITHIN = 3 * SECOND  # of the same order as the canaries' pauses: older failures are another story
-    STRETCH = 2 * SECOND  # for little traffic, where the count takes too long; two failures at least: one
-    # failure and then silence is no evidence
+    STRETCH = 2 * SECOND  # where the count takes too long; one failure and then silence is no evidence
     RECOVER, RECOVER_MOST = SECOND, 8 * SECOND  # small at first: a needless move is soon undone
     CANARY_WAIT = SECOND  # a canary that could not be sent or said nothing goes on to the next backup
     RISE = 3 * SECOND  # the share of the primary after its return goes from none to all
@@ -260,63 +231,56 @@
         self.spread, self.draw = chance.uniform, chance.random
         others = [zone for zone in range(place.zones) if zone != place.zone]
         self.order = [place.zone, *sorted(others, key=lambda zone: mix(place.number, zone))]
-        self.home, self.state = [place.zone], PRIMARY
-        self.serving = place.zone  # the backup zone while in BACKUP or RECOVERY
+        self.home, self.backups = self.order[:1], self.order[1:]
+        self.state, self.serving = PRIMARY, place.zone  # serving: the backup that is asked or stands in
         self.failed: deque[int] = deque(maxlen=self.FAILURES)  # times of the failures in a row
-        self.entries = self.timer = 0
-        self.returned, self.tried = -self.RISE, 0  # tried: how many backups this failover has asked
+        self.entries, self.timer, self.returned = 0, 0, -self.RISE
         self.canary_zone: int | None = None
         self.canary_sent, self.canary_until = False, 0
 
     def lay(self, zones: Sequence[Sequence[Upstream]]) -> None:
         """The primary: our zone and the next ones while it holds under a zone's part of the fleet."""
-        part = sum(map(len, zones)) // len(zones)
-        self.home = self.order[:1]
-        while sum(len(zones[zone]) for zone in self.home) < part:
-            self.home = self.order[: len(self.home) + 1]
+        part, count = sum(map(len, zones)) // len(zones), 1
+        while sum(len(zones[zone]) for zone in self.order[:count]) < part:
+            count += 1
+        self.home, self.backups = self.order[:count], self.order[count:]
 
     def zones(self, now: int) -> list[int]:
-        """All zones, those that ordinary traffic goes to first."""
+        """All zones that traffic may go to, those that ordinary traffic goes to first."""
         if self.state == FAILOVER:
             return self.home
-        rest = [zone for zone in self.order if zone not in self.home]
         if self.state == PRIMARY:
             since = now - self.returned
             if since < self.RISE and self.serving not in self.home and self.draw() * self.RISE > since:
                 return [self.serving, *self.home]
-            return [*self.home, *rest]
-        return [self.serving, *(zone for zone in rest if zone != self.serving)]
+            return self.order
+        return [self.serving, *(zone for zone in self.backups if zone != self.serving)]
 
     def heard(self, now: int, zone: int, good: bool) -> None:
         """An ordinary dispatch answered, or failed to connect, was reset or timed out."""
         if zone not in (self.home if self.state in (PRIMARY, FAILOVER) else (self.serving,)):
             return
-        if good:
-            self.failed.clear()
-            if self.state == FAILOVER:
-                self.state, self.canary_zone = PRIMARY, None
-        else:
+        if not good:
             self.failed.append(now)
+        elif self.state == FAILOVER:
+            self.enter_primary(self.returned)
+        else:
+            self.failed.clear()
 
     def step(self, now: int) -> str | None:
         """Moves on by what is known; a note if the state changed."""
-        before = self.state
-        failing = bool(self.failed) and (
-            (len(self.failed) == self.FAILURES and now - self.failed[0] <= self.WITHIN)
-            or (len(self.failed) > 1 and now - self.failed[0] >= self.STRETCH)
-        )
-        backups = [zone for zone in self.order if zone not in self.home]
-        if self.state == PRIMARY and failing and backups:
-            self.state, self.tried = FAILOVER, 0
-        elif self.state == FAILOVER and not backups:
-            self.state, self.canary_zone = PRIMARY, None
-        elif self.state in (BACKUP, RECOVERY) and self.serving in self.home:
-            self.enter_primary(now - self.RISE)  # the list has changed: our backup is part of home now
+        before, count = self.state, len(self.failed)
+        since = now - self.failed[0] if count else 0
+        failing = (count == self.FAILURES and since <= self.WITHIN) or (count > 1 and since >= self.STRETCH)
+        if self.state != PRIMARY and self.serving in self.home:  # the list has changed
+            self.enter_primary(now - self.RISE)
+        elif self.state == PRIMARY and failing and self.backups:
+            self.state, self.serving = FAILOVER, self.backups[0]
         elif self.state == BACKUP and (now >= self.timer or failing):
             self.failed.clear()
             self.state = RECOVERY
         if self.state in (FAILOVER, RECOVERY) and self.canary_zone is None:
-            self.canary_zone = self.order[0] if self.state == RECOVERY else backups[self.tried % len(backups)]
+            self.canary_zone = self.order[0] if self.state == RECOVERY else self.serving
             self.canary_sent, self.canary_until = False, now + self.CANARY_WAIT
         elif self.canary_zone is not None and now >= self.canary_until:
             self.canary(now, False)
@@ -324,29 +288,27 @@
 
     def due(self, now: int) -> int:
         """When there is something to step to, if nothing comes in before."""
-        if self.canary_zone is not None or self.state in (BACKUP, RECOVERY):
+        if self.canary_zone is not None or self.state == BACKUP:
             return self.timer if self.canary_zone is None else self.canary_until
         stretched = self.failed[0] + self.STRETCH if len(self.failed) > 1 else 0
         return stretched if stretched > now else 1 << 62
 
     def canary(self, now: int, good: bool) -> None:
-        zone, self.canary_zone = self.canary_zone, None
-        if zone is None:
-            return
+        self.canary_zone = None
         if self.state == FAILOVER and not good:
-            self.tried += 1
+            tried = self.order.index(self.serving) - len(self.home) + 1
+            self.serving = self.backups[tried % len(self.backups)]
         elif self.state == RECOVERY and good:
             self.enter_primary(now)
         else:
-            if self.state == FAILOVER:
-                self.entries, self.serving = self.entries + 1, zone
-                self.failed.clear()
+            self.entries += self.state == FAILOVER
+            self.failed.clear()
             self.state = BACKUP
             wait = min(self.RECOVER * self.entries, self.RECOVER_MOST)
             self.timer = now + int(wait * self.spread(0.8, 1.2))
 
-    def enter_primary(self, now: int) -> None:
-        self.state, self.canary_zone, self.returned = PRIMARY, None, now
+    def enter_primary(self, returned: int) -> None:
+        self.state, self.canary_zone, self.returned = PRIMARY, None, returned
         self.failed.clear()
 
 
@@ -367,41 +329,35 @@
 
     def pair(self, ready: Sequence[Upstream], favourite: Upstream | None = None) -> list[Upstream]:
         """Two at random, or the favourite and one at random."""
-        if favourite is None:
-            if not ready:
-                return []
-            favourite = ready[int(self.draw() * len(ready))]
-        others = [known for known in ready if known is not favourite]
-        return [favourite, others[int(self.draw() * len(others))]] if others else [favourite]
-
-    def better(
-        self, now: int, pair: Sequence[Upstream], ready: Sequence[Upstream], favoured: bool = False
-    ) -> Upstream:
+        first = [favourite] if favourite else self.one(ready)
+        return first + self.one([known for known in ready if known not in first])
+
+    def one(self, known: Sequence[Upstream]) -> list[Upstream]:
+        return [known[int(self.draw() * len(known))]] if known else []
+
+    def better(self, now: int, pair: list[Upstream], ready: list[Upstream], ahead: int = 0) -> Upstream:
         """Ties go at random; a favourite, which is the first, may have a query more in flight."""
         if len(pair) < 2:
             return pair[0]
         first, second = self.load(now, pair[0]), self.load(now, pair[1])
         if first is None or second is None:
             heard = [load for known in ready if (load := self.load(now, known)) is not None]
-            mean = sum(heard) / len(heard) if heard else 0.0
+            mean = sum(heard) / max(1, len(heard))
             first = mean + len(pair[0].out) if first is None else first
             second = mean + len(pair[1].out) if second is None else second
-        ahead = first - second - favoured
-        return pair[0] if ahead < 0 or (ahead == 0 and self.draw() < 0.5) else pair[1]
+        more = first - second - ahead
+        return pair[0] if more < 0 or (more == 0 and self.draw() < 0.5) else pair[1]
 
     def by_key(self, key: int, ready: Sequence[Upstream]) -> Upstream | None:
         """The first in an order hashed from the key, the same at all sidecars: if anyone did, it met it."""
-        if not key or not ready:
-            return None
-        ranks = [(key ^ known.salt) * 0x9E3779B1 & 0xFFFFFFFF for known in ready]
-        return ready[ranks.index(max(ranks))]
+        return max(ready, key=lambda known: mix(key, known.entry.upstream), default=None) if key else None
 
 
 @dataclass(slots=True, eq=False)
 class Query:
     number: int
-    offering: int
-    effect: int
+    terms: Offering
+    room: int  # how long an answer may be expected to take
     stop: int  # after this time nothing may be said
     agreed: int
     key: int  # 0: none, or of no use here
@@ -410,42 +366,37 @@
     sent: list[tuple[Upstream, int]] = field(default_factory=list)  # each dispatch: where and when
     out: set[int] = field(default_factory=set)  # numbers of the dispatches without an outcome
     suspects: set[int] = field(default_factory=set)  # those that ended and may have run
-    canaries: set[int] = field(default_factory=set)
+    canary: bool = False  # its first dispatch is one
     ended: bool = False  # what is still out is no use any more
 
 
 class Ledger:
     """Keeps the promises made with each offering."""
 
-    def __init__(self, offerings: Sequence[Offering], dispatches: int) -> None:
-        self.offerings, self.dispatches = offerings, dispatches
+    def __init__(self, dispatches: int) -> None:
+        self.dispatches = dispatches
         self.queries: dict[int, Query] = {}
 
     def may_send(self, now: int, query: Query) -> bool:
         """Whether another dispatch is allowed at all; only ever one is out at a time."""
         if query.ended or query.out or now >= query.stop or len(query.sent) >= self.dispatches:
             return False
-        if query.suspects and query.effect == LABELLED:
-            first = min(query.sent[shot][1] for shot in query.suspects)
-            return now - first < self.offerings[query.offering].window
-        return not query.suspects or query.effect == REDOABLE
+        if query.suspects and query.terms.effect == LABELLED:
+            return now - query.sent[min(query.suspects)][1] < query.terms.window
+        return not query.suspects or query.terms.effect == REDOABLE
 
     def may_go_to(self, query: Query, known: Upstream) -> bool:
         """Never one twice; repeats of a labelled query stay where they are dropped."""
-        group = self.offerings[query.offering].group
         if any(known is where for where, _ in query.sent):
             return False
-        if query.effect != LABELLED or group not in (SAME_ZONE, SAME_CELL):
+        if query.terms.effect != LABELLED or query.terms.group == EVERYWHERE:
             return True
-        ran = [query.sent[shot][0].entry for shot in query.suspects]
-        where = "zone" if group == SAME_ZONE else "cell"
-        return all(getattr(entry, where) == getattr(known.entry, where) for entry in ran)
+        place = attrgetter("zone" if query.terms.group == SAME_ZONE else "cell")
+        return all(place(query.sent[shot][0].entry) == place(known.entry) for shot in query.suspects)
 
     def may_bounce(self, query: Query) -> bool:
-        if query.effect == REDOABLE or not (query.out or query.suspects):
-            return True
-        group = self.offerings[query.offering].group
-        return query.effect == LABELLED and group not in (SAME_ZONE, SAME_CELL)
+        anywhere = query.terms.effect == LABELLED and query.terms.group == EVERYWHERE
+        return anywhere or query.terms.effect == REDOABLE or not (query.out or query.suspects)
 
 
 class Lines:
@@ -461,8 +412,7 @@
         line = self.first or self.further
         return line.popleft() if line else None
 
-    def stir(self) -> None:
-        """What can be sent may have changed: those that wait are looked at again."""
+    def stir(self) -> None:  # a probe's answer is in, or overdue
         while self.waiting:
             self.add(self.waiting.popleft())
 
@@ -473,7 +423,6 @@
     YIELD, LEAST = 0.15, 0.6  # less of it for each better earning offering, which is left that much room
     UNHEARD = 0.25  # of the shortest agreed time: what an answer is taken to need before any was seen
     DRAWS = 3  # pairs drawn in each of the first two zones: one odd pair is no full zone
-    LOOK = SECOND // 2  # an upstream heard within this time is not asked again
     ASKED = 2  # zones whose candidates are probed for one query: a surplus may cross, not search
     PROBE_WAIT = 30 * MILLISECOND  # for a probe's answer: well above a round trip, well under an agreed time
     FOLLOW_FIRST, FOLLOW_MOST = SECOND // 2, 8 * SECOND  # pauses after failed calls to the list
@@ -482,8 +431,8 @@
     NEVER = 1 << 62  # later than any clock
 
     def __init__(
-        self, now: int, seed: int, place: Place, offerings: Sequence[Offering],
-        customers: Sequence[Customer], cold: ColdRule, permits: Permits,
+        self, now: int, seed: int, place: Place, offerings: Sequence[Offering], cold: ColdRule,
+        permits: Permits,
     ) -> None:  # fmt: skip
         chance = Random(seed)
         self.spread = chance.uniform
@@ -491,12 +440,13 @@
         self.roster, self.cold = Roster(place, cold.ramp), ColdBudget(cold, place)
         self.answers = Answers(now, place.zones, int(self.shortest * self.UNHEARD))
         self.health, self.group, self.pick = Health(chance), Group(place, chance), Pick(chance)
-        self.ledger, self.lines = Ledger(offerings, permits.dispatches), Lines()
+        self.ledger, self.lines = Ledger(permits.dispatches), Lines()
         self.offerings, self.permits, self.growth = offerings, permits, place.sidecars**0.5
-        self.ranks = [sum(p.earnings > o.earnings for p in offerings) for o in offerings]
+        ranks = [sum(p.earnings > o.earnings for p in offerings) for o in offerings]
+        self.rooms = [int(self.shortest * max(self.LATE - self.YIELD * rank, self.LEAST)) for rank in ranks]
         self.said: deque[Decision] = deque()
         self.look_at, self.wake_at = now, self.NEVER  # when there is something to do; the timer that is out
-        self.follow_at, self.follow_failures = now if permits.follow else self.NEVER, 0
+        self.follow_at, self.follow_pause = now if permits.follow else self.NEVER, self.FOLLOW_FIRST
 
     # -- calls in
 
@@ -505,19 +455,18 @@
         by_id, ejected = self.roster.by_id, self.health.ejected
         self.health.ejected = {n: known for n, known in ejected.items() if by_id[n] is known}
         self.group.lay(self.roster.zones)
-        self.follow_failures, self.look_at = 0, now
+        self.follow_pause, self.look_at = self.FOLLOW_FIRST, now
 
     def list_failed(self, now: int) -> None:
-        pause = min(self.FOLLOW_FIRST << min(self.follow_failures, 5), self.FOLLOW_MOST)
-        self.follow_failures += 1
-        self.follow_at = now + int(pause * self.spread(0.5, 1.5))
+        self.follow_at = now + int(self.follow_pause * self.spread(0.5, 1.5))
+        self.follow_pause = min(2 * self.follow_pause, self.FOLLOW_MOST)
         self.look_at = min(self.look_at, self.follow_at)
 
-    def take(self, now: int, number: int, offering: int, customer: int, remaining: int, key: int) -> None:
-        terms = self.offerings[offering]
+    def take(self, now: int, number: int, offering: int, remaining: int, key: int) -> None:
+        terms, room = self.offerings[offering], self.rooms[offering]
         key = mix(key & 0xFFFFFFFF, key >> 32) if key and self.permits.warm_keys else 0
         agreed = now + min(remaining, terms.agreed)
-        self.ledger.queries[number] = Query(number, offering, terms.effect, now + remaining, agreed, key)
+        self.ledger.queries[number] = Query(number, terms, room, now + remaining, agreed, key)
         self.lines.add(self.ledger.queries[number])
         self.answers.taken.append(now)
 
@@ -530,7 +479,7 @@
             self.answers.out[known.entry.zone].pop((number, shot), None)
             known.report = (now, report) if report is not None else known.report
             if outcome not in (CANCELLED, FULL, MOOT):
-                self.judge(now, known, outcome, duration, sent[1], query is not None and shot in query.canaries)
+                self.judge(now, known, outcome, duration, sent[1], bool(query and query.canary and not shot))
         if query is not None:
             query.out.discard(shot)
             if outcome not in NEVER_RAN:
@@ -541,7 +490,7 @@
                 self.lines.add(query)
 
     def left(self, now: int, number: int) -> None:
-        if (query := self.ledger.queries.get(number)) is not None and not query.ended:
+        if query := self.ledger.queries.get(number):
             self.close(query)
 
     def probed(self, now: int, upstream: int, ok: bool, duration: int, report: Report | None) -> None:
@@ -549,7 +498,6 @@
             known.probe_out = False
             known.report = (now, report) if report is not None else known.report
             self.canary_back(now, known, ok and not self.lags(duration))
-            self.lines.stir()
 
     def woken(self, now: int) -> None:
         if now >= self.wake_at - MILLISECOND:  # else an earlier timer has taken this one's place
@@ -558,14 +506,12 @@
     # -- bookkeeping
 
     def judge(self, now: int, known: Upstream, outcome: int, duration: int, then: int, canary: bool) -> None:
-        good = outcome in (DONE, TIMED_OUT)  # a time-out as long as others' answers is no failure
-        if good:
+        if good := outcome in (DONE, TIMED_OUT):  # a time-out as long as others' answers is no failure
             known.samples.append((now, duration, then))
             self.answers.add(now, known.entry.zone, duration)
             good = not self.lags(duration)
         if canary:
-            self.canary_back(now, known, good)
-            return
+            return self.canary_back(now, known, good)
         if self.health.judge(now, known, good):
             self.said.append(("note", f"ejected {known.entry.upstream}"))
             self.roster.sort_at = self.look_at = now
@@ -576,19 +522,18 @@
     def canary_back(self, now: int, known: Upstream, good: bool) -> None:
         if known.canary_out:
             self.health.canary(now, known, good)
-            self.roster.sort_at = self.look_at = now
+            self.roster.sort_at = now
         if self.group.canary_sent and known.entry.zone == self.group.canary_zone:
             self.group.canary(now, good)
-            self.look_at = now
+        self.look_at = now
 
-    def lags(self, duration: int) -> bool:
-        """Guards against upstreams many times slower than the rest, which never quite fail."""
+    def lags(self, duration: int) -> bool:  # guards against upstreams many times slower that never quite fail
         return duration >= max(self.health.LAG * self.answers.typical, self.shortest // 2)
 
     def close(self, query: Query) -> None:
         """The query has its final answer; what is still out is worth nothing to anyone."""
         if not query.ended and self.permits.cancel:
-            self.said.extend(("cancel", query.number, shot) for shot in sorted(query.out))
+            self.said.extend(("cancel", query.number, shot) for shot in query.out)
         query.ended = True
         if not query.out:
             self.ledger.queries.pop(query.number, None)
@@ -603,10 +548,10 @@
                 return decision
         if self.said:
             return self.said.popleft()
-        if self.look_at < self.wake_at:
-            self.wake_at = self.look_at
-            return ("wake", self.wake_at - now)
-        return None
+        if self.look_at >= self.wake_at:
+            return None
+        self.wake_at = self.look_at
+        return ("wake", self.wake_at - now)
 
     def look(self, now: int) -> None:
         """What is due by the clock; nothing is asked of the host while nothing is."""
@@ -620,12 +565,11 @@
         if self.permits.probes:
             while (known := self.next_canary(now)) is not None:
                 self.probe(known)
-            for known in self.health.ejected.values():
-                if not known.canary_out:
-                    self.look_at = min(self.look_at, max(known.canary_due, now + self.health.CANARY_EVERY))
+            dues = [known.canary_due for known in self.health.ejected.values() if not known.canary_out]
+            self.look_at = min([self.look_at, *(max(due, now + self.health.CANARY_EVERY) for due in dues)])
 
     def next_canary(self, now: int) -> Upstream | None:
-        """The upstream that is due a canary: one of the zone that the group asks, else one that is ejected."""
+        """The upstream that is due a canary: of the zone that the group asks, else one that is ejected."""
         group, work = self.group, self.work()
         if group.canary_zone is not None and not group.canary_sent:
             zone = self.roster.zones[group.canary_zone]
@@ -634,8 +578,8 @@
                 group.canary_sent = True
                 return self.pick.better(now, self.pick.pair(may), may)
         for known in self.health.ejected.values():
-            free = not (known.canary_out or known.probe_out) and known.entry.condition == READY
-            if now >= known.canary_due and free and self.cold.allows(now, known, work):
+            free = not (known.canary_out or known.probe_out) and now >= known.canary_due
+            if free and known.entry.condition == READY and self.cold.allows(now, known, work):
                 known.canary_out = True
                 return known
         return None
@@ -644,38 +588,34 @@
         """A dispatch, a final answer, or None: the query waits for a probe."""
         if not self.ledger.may_send(now, query):
             return self.answer(now, query, 0)
-        if not (self.permits.probes or query.sent) and query.effect == REDOABLE:
-            if (canary := self.next_canary(now)) is not None:
-                query.canaries.add(0)
-                return self.dispatch(now, query, canary)
+        free = query.terms.effect == REDOABLE and not (self.permits.probes or query.sent)
+        if free and (canary := self.next_canary(now)) is not None:
+            query.canary = True
+            return self.dispatch(now, query, canary)
         chosen, expected = (None, 0) if self.asking(now, query) else self.choose(now, query)
         if self.asking(now, query):
             self.lines.waiting.append(query)
             self.look_at = min(self.look_at, query.asks_until)
             return None
-        limit = min(self.room(query), query.agreed - now)
+        limit = min(query.room, query.agreed - now)
         if chosen is None or (expected > limit and not query.suspects and self.ledger.may_bounce(query)):
             return self.answer(now, query, expected - limit)
         return self.dispatch(now, query, chosen)
 
-    def room(self, query: Query) -> int:
-        """How long an answer may take: less for what earns less."""
-        return int(self.shortest * max(self.LATE - self.YIELD * self.ranks[query.offering], self.LEAST))
-
     def choose(self, now: int, query: Query) -> tuple[Upstream | None, int]:
         """The pick in the first zone that can answer in time; else the soonest of the picks."""
         best, soonest, typical = None, 0, self.answers.typical
         enough = int(self.shortest * (self.SURPLUS + self.permits.crossing))
-        fresh = self.answers.fresh(now, max(map(len, self.roster.zones)))
-        self.roster.sort(now)
+        if now >= self.roster.sort_at:
+            self.roster.sort(now)
         for place, zone in enumerate(self.group.zones(now)):
             ready, fed = self.candidates(now, query, zone)
             key = 0 if place or query.sent else query.key
             favourite = fed[0] if fed else self.pick.by_key(key, ready)
             pair = (not query.sent and query.asked.get(zone)) or self.pick.pair(ready, favourite)
-            pace = self.answers.pace(now, zone, fresh)
+            pace = self.answers.pace(now, zone)
             if self.permits.probes and not query.sent:
-                if zone not in query.asked and not all(known.heard(now, self.LOOK) for known in pair):
+                if zone not in query.asked and not all(known.heard(now) for known in pair):
                     if self.ask(now, query, zone, pair):
                         return None, 0
                     continue
@@ -685,10 +625,9 @@
                 if not (pair := pair or self.pick.pair(ready)):
                     break
                 chosen = self.pick.better(now, pair, ready, not draw and pair[0] is favourite)
+                expected = chosen.expected(now, typical, pace, self.growth)
                 if chosen in fed:
                     expected = int(self.work() / self.cold.share(now, chosen))
-                else:
-                    expected = chosen.expected(now, typical, pace, self.growth, fresh)
                 if expected <= enough:
                     return chosen, expected
                 if best is None or expected < soonest - self.shortest * (best.entry.zone != zone) // 4:
@@ -698,29 +637,28 @@
 
     def candidates(self, now: int, query: Query, zone: int) -> tuple[list[Upstream], list[Upstream]]:
         """The upstreams of a zone that may get this query: warm ones, and a cold one that is ours to feed."""
-        ready = self.roster.members(zone, len(self.answers.taken), self.answers.span(now))
+        ready = self.roster.members(now, zone, self.answers.taken)
         fed = [known for known in self.roster.cold[zone] if self.cold.allows(now, known, self.work())]
         if query.sent:
             may = [known for known in self.roster.usable[zone] + fed if self.ledger.may_go_to(query, known)]
             fed = [known for known in fed if known in may]
             ready = [known for known in ready if known in may] or [known for known in may if known not in fed]
-        return ready, fed[int(self.pick.draw() * len(fed)) :][:1]
+        return ready, self.pick.one(fed)
 
-    def work(self) -> int:
-        """What a query takes with no wait: the lower quarter of the last answers, a guess at most."""
+    def work(self) -> int:  # of a query with no wait: the lower quarter of the last answers, a guess at most
         return max(1, min(self.answers.quarter, self.answers.unheard))
 
     def asking(self, now: int, query: Query) -> bool:
-        waits = now < query.asks_until and not query.sent
-        return waits and any(known.probe_out for known in chain(*query.asked.values()))
+        return now < query.asks_until and any(known.probe_out for known in chain(*query.asked.values()))
 
     def ask(self, now: int, query: Query, zone: int, pair: list[Upstream]) -> bool:
         """Has the candidates probed of which nothing is known lately; False if it has asked enough zones."""
         if len(query.asked) == self.ASKED:
             return False
-        query.asked[zone], query.asks_until = pair, now + self.PROBE_WAIT
+        wait = min(self.PROBE_WAIT, (query.agreed - now) // 2)  # a short try was kept past its hard stop
+        query.asked[zone], query.asks_until = pair, now + wait
         for known in pair:
-            if not known.probe_out and not known.heard(now, self.LOOK):
+            if not known.probe_out and not known.heard(now):
                 self.probe(known)
         return True
 
@@ -730,7 +668,8 @@
 
     def dispatch(self, now: int, query: Query, known: Upstream) -> Decision:
         shot = len(query.sent)
-        self.cold.charge(now, known)
+        if now < known.warm_at:
+            known.sent_cold.append(now)
         known.out[query.number, shot] = (now, len(known.out))
         self.answers.out[known.entry.zone][query.number, shot] = now
         query.sent.append((known, now))
@@ -738,7 +677,6 @@
         return ("dispatch", query.number, known.entry.upstream, query.stop - now)
 
     def answer(self, now: int, query: Query, after: int) -> Decision:
-        """The final answer to a query that is given up on."""
         bounce = self.ledger.may_bounce(query)
         self.close(query)
         wait = min(max(after, self.AFTER), self.permits.come_back) * self.spread(0.75, 1.0)
--- a/maddercart/wirehost/settings.py
+++ b/maddercart/wirehost/settings.py
@@ -77,10 +77,6 @@
                 late_earnings=s.number(at + "tardy_earnings", 0.0),
             )
         )
-    customers = [
-        i.Customer(s.number(f"parties.{n}.share", 0.0), s.number(f"parties.{n}.quota_per_s", 0.0))
-        for n in range(s.count("parties.count", 0))
-    ]
     come_back = s.nanos("limits.max_retry_after", 0.0) if s.flag("limits.retry_after", False) else 0
     return {
         "place": i.Place(
@@ -90,7 +86,6 @@
             zones=max(1, len(s.names("zones"))),
         ),
         "offerings": offerings,
-        "customers": customers,
         "cold": i.ColdRule(
             start=s.number("rules.cold_from"),
             ramp=s.nanos("rules.ramp_time"),
@@ -99,7 +94,6 @@
         ),
         "permits": i.Permits(
             dispatches=s.count("limits.most_dispatches"),
-            copies=s.flag("limits.parallel_tries", False),
             cancel=s.flag("limits.cancel", False),
             probes=s.flag("limits.probing", False),
             come_back=come_back,
