--- a/maddercart/interface.py
+++ b/maddercart/interface.py
@@ -13,7 +13,7 @@
 Calls in
     learn(now, entries, whole)      the list, or what changed on it; `whole` if everything else is gone
     list_failed(now)                a `follow` did not work, or the subscription broke
-    take(now, query, offering, remaining, key)   a query to be answered within `remaining`; key 0: none
+    take(now, query, offering, remaining)   a query to be answered within `remaining`
     outcome(now, query, upstream, number, duration, outcome, ended, report)   how a dispatch ended
     left(now, query)                the client has gone; nothing is owed any more
     probed(now, upstream, ok, duration, report)   how a probe ended
@@ -123,4 +123,3 @@
     come_back: int
     follow: bool
     crossing: float = 0.0  # what a dispatch to another zone costs, in earnings of a query
-    warm_keys: bool = False  # an upstream that lately met a query's key does less work for it
--- a/maddercart/logic.py
+++ b/maddercart/logic.py
@@ -7,14 +7,15 @@
  1. surplus      a query crosses zones only while its own zone cannot answer in time and another can
  2. early bounce a query is turned away when no upstream that may get it can answer it in time
  3. asking       the two candidates of a pick of which nothing fresh is known are probed first
- 4. warm keys    one of the two candidates is the first in an order hashed from the query's key
+ 4. kinds        the two are drawn by size over what machines of their kind lately took
  5. own set      a sidecar uses those upstreams that rank highest in a hash of its number and theirs
  6. cold ring    a cold upstream is fed by as many sidecars on the ring as it can bear, a query each
 """
 
-from collections import deque
-from collections.abc import Sequence
+from collections import defaultdict, deque
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
+from functools import partial
 from itertools import chain, islice
 from operator import attrgetter
 from random import Random
@@ -134,16 +135,22 @@
         self.taken: deque[int] = deque([now], maxlen=32)  # when the last queries came: our own rate
         self.durations: deque[int] = deque([unheard] * 8, maxlen=32)  # of the last answers; first a guess
         self.typical = self.quarter = unheard  # the middle one of these, and the lower quarter
+        self.kinds: dict[int, deque[int]] = defaultdict(partial(deque, maxlen=16))  # and of each machine kind
         # By zone: the last answers, when and how long; when each dispatch was sent that is still out.
         self.last: list[deque[tuple[int, int]]] = [deque(maxlen=16) for _ in range(zones)]
         self.out: list[dict[tuple[int, int], int]] = [{} for _ in range(zones)]
 
-    def add(self, now: int, zone: int, duration: int) -> None:
-        self.last[zone].append((now, duration))
+    def add(self, now: int, entry: Entry, duration: int) -> None:
+        self.last[entry.zone].append((now, duration))
+        self.kinds[entry.kind].append(duration)
         self.durations.append(duration)
         durations = sorted(self.durations)
         self.typical, self.quarter = durations[len(durations) // 2], durations[len(durations) // 4]
 
+    def kind_pace(self, kind: int) -> float:  # what an answer lately took on such machines
+        took = self.kinds[kind]
+        return (1 + sum(took) + self.typical * max(0, Upstream.FEW - len(took))) / max(len(took), Upstream.FEW)
+
     def pace(self, now: int, zone: int) -> int:
         """What an answer lately took in a zone; a dispatch overdue there counts before its answer comes."""
         took = [duration for at, duration in self.last[zone] if at > now - self.FRESH]
@@ -317,8 +324,8 @@
 
     AGE = 2 * SECOND  # a report counts in full when new and not at all from this age on
 
-    def __init__(self, chance: Random) -> None:
-        self.draw = chance.random
+    def __init__(self, chance: Random, kind_pace: Callable[[int], float]) -> None:
+        self.draw, self.choices, self.kind_pace = chance.random, chance.choices, kind_pace
 
     def load(self, now: int, known: Upstream) -> float | None:
         if known.report is None:
@@ -327,16 +334,17 @@
         weight = max(0.0, 1 - (now - at) / self.AGE)
         return len(known.out) + weight * max(report.held, report.waiting, 0.0)
 
-    def pair(self, ready: Sequence[Upstream], favourite: Upstream | None = None) -> list[Upstream]:
-        """Two at random, or the favourite and one at random."""
-        first = [favourite] if favourite else self.one(ready)
+    def pair(self, ready: Sequence[Upstream], fed: list[Upstream]) -> list[Upstream]:
+        """Two at random, or the cold one that is ours to feed and one at random."""
+        first = fed or self.one(ready)
         return first + self.one([known for known in ready if known not in first])
 
     def one(self, known: Sequence[Upstream]) -> list[Upstream]:
-        return [known[int(self.draw() * len(known))]] if known else []
+        weights = [other.size / self.kind_pace(other.entry.kind) for other in known]
+        return self.choices(known, weights) if known else []
 
     def better(self, now: int, pair: list[Upstream], ready: list[Upstream], ahead: int = 0) -> Upstream:
-        """Ties go at random; a favourite, which is the first, may have a query more in flight."""
+        """Ties go at random; the first may have so many queries more in flight."""
         if len(pair) < 2:
             return pair[0]
         first, second = self.load(now, pair[0]), self.load(now, pair[1])
@@ -348,10 +356,6 @@
         more = first - second - ahead
         return pair[0] if more < 0 or (more == 0 and self.draw() < 0.5) else pair[1]
 
-    def by_key(self, key: int, ready: Sequence[Upstream]) -> Upstream | None:
-        """The first in an order hashed from the key, the same at all sidecars: if anyone did, it met it."""
-        return max(ready, key=lambda known: mix(key, known.entry.upstream), default=None) if key else None
-
 
 @dataclass(slots=True, eq=False)
 class Query:
@@ -360,7 +364,6 @@
     room: int  # how long an answer may be expected to take
     stop: int  # after this time nothing may be said
     agreed: int
-    key: int  # 0: none, or of no use here
     asked: dict[int, list[Upstream]] = field(default_factory=dict)  # by zone: the candidates probed for it
     asks_until: int = 0  # no longer than this does it wait for them
     sent: list[tuple[Upstream, int]] = field(default_factory=list)  # each dispatch: where and when
@@ -439,7 +442,8 @@
         self.shortest = min((o.agreed for o in offerings), default=SECOND)
         self.roster, self.cold = Roster(place, cold.ramp), ColdBudget(cold, place)
         self.answers = Answers(now, place.zones, int(self.shortest * self.UNHEARD))
-        self.health, self.group, self.pick = Health(chance), Group(place, chance), Pick(chance)
+        self.health, self.group = Health(chance), Group(place, chance)
+        self.pick = Pick(chance, self.answers.kind_pace)
         self.ledger, self.lines = Ledger(permits.dispatches), Lines()
         self.offerings, self.permits, self.growth = offerings, permits, place.sidecars**0.5
         ranks = [sum(p.earnings > o.earnings for p in offerings) for o in offerings]
@@ -462,11 +466,10 @@
         self.follow_pause = min(2 * self.follow_pause, self.FOLLOW_MOST)
         self.look_at = min(self.look_at, self.follow_at)
 
-    def take(self, now: int, number: int, offering: int, remaining: int, key: int) -> None:
+    def take(self, now: int, number: int, offering: int, remaining: int) -> None:
         terms, room = self.offerings[offering], self.rooms[offering]
-        key = mix(key & 0xFFFFFFFF, key >> 32) if key and self.permits.warm_keys else 0
         agreed = now + min(remaining, terms.agreed)
-        self.ledger.queries[number] = Query(number, terms, room, now + remaining, agreed, key)
+        self.ledger.queries[number] = Query(number, terms, room, now + remaining, agreed)
         self.lines.add(self.ledger.queries[number])
         self.answers.taken.append(now)
 
@@ -508,7 +511,7 @@
     def judge(self, now: int, known: Upstream, outcome: int, duration: int, then: int, canary: bool) -> None:
         if good := outcome in (DONE, TIMED_OUT):  # a time-out as long as others' answers is no failure
             known.samples.append((now, duration, then))
-            self.answers.add(now, known.entry.zone, duration)
+            self.answers.add(now, known.entry, duration)
             good = not self.lags(duration)
         if canary:
             return self.canary_back(now, known, good)
@@ -576,7 +579,7 @@
             may = [known for known in zone if not known.probe_out and self.cold.allows(now, known, work)]
             if may:
                 group.canary_sent = True
-                return self.pick.better(now, self.pick.pair(may), may)
+                return self.pick.better(now, self.pick.pair(may, []), may)
         for known in self.health.ejected.values():
             free = not (known.canary_out or known.probe_out) and now >= known.canary_due
             if free and known.entry.condition == READY and self.cold.allows(now, known, work):
@@ -610,9 +613,7 @@
             self.roster.sort(now)
         for place, zone in enumerate(self.group.zones(now)):
             ready, fed = self.candidates(now, query, zone)
-            key = 0 if place or query.sent else query.key
-            favourite = fed[0] if fed else self.pick.by_key(key, ready)
-            pair = (not query.sent and query.asked.get(zone)) or self.pick.pair(ready, favourite)
+            pair = (not query.sent and query.asked.get(zone)) or self.pick.pair(ready, fed)
             pace = self.answers.pace(now, zone)
             if self.permits.probes and not query.sent:
                 if zone not in query.asked and not all(known.heard(now) for known in pair):
@@ -621,10 +622,10 @@
                     continue
                 pair = [known for known in pair if not known.probe_out and (known in ready or known in fed)]
                 pace = max(pace, min([known.reported(now, typical) for known in pair], default=0))
-            for draw in range(self.DRAWS if place < 2 else 1):
-                if not (pair := pair or self.pick.pair(ready)):
+            for _ in range(self.DRAWS if place < 2 else 1):
+                if not (pair := pair or self.pick.pair(ready, [])):
                     break
-                chosen = self.pick.better(now, pair, ready, not draw and pair[0] is favourite)
+                chosen = self.pick.better(now, pair, ready, pair[0] in fed)
                 expected = chosen.expected(now, typical, pace, self.growth)
                 if chosen in fed:
                     expected = int(self.work() / self.cold.share(now, chosen))
--- a/maddercart/wirehost/host.py
+++ b/maddercart/wirehost/host.py
@@ -84,8 +84,8 @@
                 now, query, upstream, number, round(duration * SECOND), outcome, ended != 0, report
             )
         elif code == f.DEMAND:
-            query, _, remaining, offering, _, _, key = f.DEMAND_BODY.unpack_from(body, at)
-            balancer.take(now, query, offering, round(remaining * SECOND), key)
+            query, _, remaining, offering, *_ = f.DEMAND_BODY.unpack_from(body, at)
+            balancer.take(now, query, offering, round(remaining * SECOND))
         elif code == f.TIMEOUT_FIRED:
             balancer.woken(now)
         elif code == f.HEALTH_RESULT:
--- a/maddercart/wirehost/settings.py
+++ b/maddercart/wirehost/settings.py
@@ -99,6 +99,5 @@
             come_back=come_back,
             crossing=s.number("charges.cross_zone", 0.0),
             follow=s.pairs.get("discovery") == "ask",
-            warm_keys=s.flag("domain.warm_keys", False),
         ),
     }
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -57,9 +57,9 @@
                     self.wake_at = self.now + after
         return made
 
-    def take(self, kind: int = 0, remaining: int = i.SECOND, key: int = 0) -> list[i.Decision]:
+    def take(self, kind: int = 0, remaining: int = i.SECOND) -> list[i.Decision]:
         self.queries += 1
-        self.balancer.take(self.now, self.queries, kind, remaining, key)
+        self.balancer.take(self.now, self.queries, kind, remaining)
         return self.pull()
 
     def end(self, query: int, shot: int, outcome: int, ended: bool | None = None) -> list[i.Decision]:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -201,7 +201,7 @@
 def test_first_dispatches_go_before_further_ones() -> None:
     host = Host([], zones=1)
     for number, sent in ((1, [(None, 0)]), (2, [])):
-        host.balancer.lines.add(Query(number, offering(), 0, 0, 0, 0, sent=sent))  # type: ignore[arg-type]
+        host.balancer.lines.add(Query(number, offering(), 0, 0, 0, sent=sent))  # type: ignore[arg-type]
     assert [host.balancer.lines.next().number for _ in range(2)] == [2, 1]
 
 
@@ -260,14 +260,14 @@
     assert {feeds(number) for number in range(3)} == {True, False}, "one query a window, for one of three"
 
 
-def test_a_warm_key_goes_to_the_same_upstream_unless_that_is_busier() -> None:
-    host = Host([entry(n) for n in range(4)], zones=1, permits=permits(warm_keys=True))
-    places = []
-    for _ in range(20):
-        host.now += 50 * MS
-        places.append(host.take(key=77)[0][2])
-        answer_all(host)
-    assert max(map(places.count, places)) > 15
+def test_upstreams_are_drawn_by_size_over_what_their_kind_took() -> None:
+    """Slow machines got as many queries as fast ones, and jammed while those were idle."""
+    host = Host([entry(0), entry(1)._replace(kind=1, size=2.0), entry(2)._replace(kind=1)], zones=1)
+    for _ in range(16):
+        host.balancer.answers.add(host.now, entry(0), 30 * MS)
+        host.balancer.answers.add(host.now, entry(1)._replace(kind=1), 60 * MS)
+    drawn = [host.balancer.pick.one(host.balancer.roster.zones[0])[0].entry.upstream for _ in range(2000)]
+    assert [drawn.count(n) / 2000 for n in range(3)] == pytest.approx([0.4, 0.4, 0.2], abs=0.05)
 
 
 def test_a_surplus_does_not_search_further_zones_than_it_may_ask() -> None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -69,7 +69,7 @@
     ]  # fmt: skip
     allowed = permits(
         dispatches=chance.randint(1, 4), cancel=chance.random() < 0.5, probes=chance.random() < 0.5,
-        warm_keys=seed % 2 == 0, come_back=chance.choice([0, i.SECOND]),
+        come_back=chance.choice([0, i.SECOND]),
     )  # fmt: skip
     zones = chance.randint(1, 3)
     lines = [entry(n, n % zones) for n in range(chance.randint(0, 6))]
@@ -87,7 +87,7 @@
             rules.kinds[host.queries + 1] = kind
             rules.stops[host.queries + 1] = host.now + remaining
             rules.sent[host.queries + 1] = []
-            follow(rules, host, host.take(kind, remaining, chance.randrange(4)))
+            follow(rules, host, host.take(kind, remaining))
         elif step < 0.55:
             n = chance.randrange(8)
             launched = host.now if chance.random() < 0.3 else 0
