--- a/maddercart/logic.py
+++ b/maddercart/logic.py
@@ -13,9 +13,8 @@
 """
 
 from collections import defaultdict, deque
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass, field
-from functools import partial
 from itertools import chain, islice
 from operator import attrgetter
 from random import Random
@@ -135,22 +134,22 @@
         self.taken: deque[int] = deque([now], maxlen=32)  # when the last queries came: our own rate
         self.durations: deque[int] = deque([unheard] * 8, maxlen=32)  # of the last answers; first a guess
         self.typical = self.quarter = unheard  # the middle one of these, and the lower quarter
-        self.kinds: dict[int, deque[int]] = defaultdict(partial(deque, maxlen=16))  # and of each machine kind
+        # By machine kind: the last answers, and their mean, which is what candidates are drawn by.
+        self.kinds: dict[int, deque[int]] = defaultdict(lambda: deque([unheard] * 4, maxlen=16))
+        self.kind_paces: dict[int, float] = defaultdict(lambda: unheard + 1.0)
         # By zone: the last answers, when and how long; when each dispatch was sent that is still out.
         self.last: list[deque[tuple[int, int]]] = [deque(maxlen=16) for _ in range(zones)]
         self.out: list[dict[tuple[int, int], int]] = [{} for _ in range(zones)]
 
     def add(self, now: int, entry: Entry, duration: int) -> None:
         self.last[entry.zone].append((now, duration))
-        self.kinds[entry.kind].append(duration)
+        took = self.kinds[entry.kind]
+        took.append(duration)
+        self.kind_paces[entry.kind] = (1 + sum(took)) / len(took)
         self.durations.append(duration)
         durations = sorted(self.durations)
         self.typical, self.quarter = durations[len(durations) // 2], durations[len(durations) // 4]
 
-    def kind_pace(self, kind: int) -> float:  # what an answer lately took on such machines
-        took = self.kinds[kind]
-        return (1 + sum(took) + self.typical * max(0, Upstream.FEW - len(took))) / max(len(took), Upstream.FEW)
-
     def pace(self, now: int, zone: int) -> int:
         """What an answer lately took in a zone; a dispatch overdue there counts before its answer comes."""
         took = [duration for at, duration in self.last[zone] if at > now - self.FRESH]
@@ -324,8 +323,8 @@
 
     AGE = 2 * SECOND  # a report counts in full when new and not at all from this age on
 
-    def __init__(self, chance: Random, kind_pace: Callable[[int], float]) -> None:
-        self.draw, self.choices, self.kind_pace = chance.random, chance.choices, kind_pace
+    def __init__(self, chance: Random, kind_paces: dict[int, float]) -> None:
+        self.draw, self.choices, self.kind_paces = chance.random, chance.choices, kind_paces
 
     def load(self, now: int, known: Upstream) -> float | None:
         if known.report is None:
@@ -334,14 +333,15 @@
         weight = max(0.0, 1 - (now - at) / self.AGE)
         return len(known.out) + weight * max(report.held, report.waiting, 0.0)
 
-    def pair(self, ready: Sequence[Upstream], fed: list[Upstream]) -> list[Upstream]:
+    def pair(self, ready: list[Upstream], fed: list[Upstream]) -> list[Upstream]:
         """Two at random, or the cold one that is ours to feed and one at random."""
-        first = fed or self.one(ready)
+        first = fed or (self.one(ready) if len(ready) > 2 else ready)
         return first + self.one([known for known in ready if known not in first])
 
-    def one(self, known: Sequence[Upstream]) -> list[Upstream]:
-        weights = [other.size / self.kind_pace(other.entry.kind) for other in known]
-        return self.choices(known, weights) if known else []
+    def one(self, known: list[Upstream]) -> list[Upstream]:
+        if len(known) < 2:
+            return known
+        return self.choices(known, [other.size / self.kind_paces[other.entry.kind] for other in known])
 
     def better(self, now: int, pair: list[Upstream], ready: list[Upstream], ahead: int = 0) -> Upstream:
         """Ties go at random; the first may have so many queries more in flight."""
@@ -443,7 +443,7 @@
         self.roster, self.cold = Roster(place, cold.ramp), ColdBudget(cold, place)
         self.answers = Answers(now, place.zones, int(self.shortest * self.UNHEARD))
         self.health, self.group = Health(chance), Group(place, chance)
-        self.pick = Pick(chance, self.answers.kind_pace)
+        self.pick = Pick(chance, self.answers.kind_paces)
         self.ledger, self.lines = Ledger(permits.dispatches), Lines()
         self.offerings, self.permits, self.growth = offerings, permits, place.sidecars**0.5
         ranks = [sum(p.earnings > o.earnings for p in offerings) for o in offerings]
@@ -534,7 +534,6 @@
         return duration >= max(self.health.LAG * self.answers.typical, self.shortest // 2)
 
     def close(self, query: Query) -> None:
-        """The query has its final answer; what is still out is worth nothing to anyone."""
         if not query.ended and self.permits.cancel:
             self.said.extend(("cancel", query.number, shot) for shot in query.out)
         query.ended = True
