--- a/maddercart/logic.py
+++ b/maddercart/logic.py
@@ -605,12 +605,12 @@
 
     def choose(self, now: int, query: Query) -> tuple[Upstream | None, int]:
         """The pick in the first zone that can answer in time; else the soonest of the picks."""
-        best, soonest, typical = None, 0, self.answers.typical
         enough = int(self.shortest * (self.SURPLUS + self.permits.crossing))
         if now >= self.roster.sort_at:
             self.roster.sort(now)
         if now - self.answers.settled > SECOND:
             self.answers.settle(now)
+        best, soonest, typical = None, 0, self.answers.typical
         for place, zone in enumerate(self.group.zones(now)):
             ready, fed = self.candidates(now, query, zone)
             pair = (not query.sent and query.asked.get(zone)) or self.pick.pair(ready, fed)
