Less room before a bounce: 0.75 of the shortest agreed time, not 0.9

Cause: at full size an estimate is made from few answers, and what is expected at 0.9 of the agreed time is late as often as not, while it keeps a slow server jammed.

--- a/maddercart/logic.py
+++ b/maddercart/logic.py
@@ -422,7 +422,7 @@
 
 class Balancer:
     SURPLUS = 0.5  # of the shortest agreed time, more by a crossing's price: home over it lets a query cross
-    LATE = 0.9  # of the shortest agreed time: expected over it everywhere, a query is turned away
+    LATE = 0.75  # of the shortest agreed time: expected over it everywhere, a query is turned away
     YIELD, LEAST = 0.15, 0.6  # less of it for each better earning offering, which is left that much room
     UNHEARD = 0.25  # of the shortest agreed time: what an answer is taken to need before any was seen
     DRAWS = 3  # pairs drawn in each of the first two zones: one odd pair is no full zone
