--- a/maddercart/logic.py
+++ b/maddercart/logic.py
@@ -170,8 +170,7 @@
     def __init__(self, cold: ColdRule, place: Place) -> None:
         self.cold, self.number, self.sidecars = cold, place.number, place.sidecars
 
-    def share(self, now: int, known: Upstream) -> float:
-        """The least part of its capacity that it has by now, by the settings."""
+    def share(self, now: int, known: Upstream) -> float:  # the least that it can do by now
         missing = min(max(known.warm_at - now, 0), self.cold.ramp) / max(self.cold.ramp, 1)
         return 1 - (1 - self.cold.start) * missing
 
@@ -422,7 +421,7 @@
 
 class Balancer:
     SURPLUS = 0.5  # of the shortest agreed time, more by a crossing's price: home over it lets a query cross
-    LATE = 0.75  # of the shortest agreed time: expected over it everywhere, a query is turned away
+    LATE, UNSURE = 0.9, 0.18  # of the shortest agreed time before a bounce: less where sidecars are many
     YIELD, LEAST = 0.15, 0.6  # less of it for each better earning offering, which is left that much room
     UNHEARD = 0.25  # of the shortest agreed time: what an answer is taken to need before any was seen
     DRAWS = 3  # pairs drawn in each of the first two zones: one odd pair is no full zone
@@ -447,7 +446,8 @@
         self.ledger, self.lines = Ledger(permits.dispatches), Lines()
         self.offerings, self.permits, self.growth = offerings, permits, place.sidecars**0.5
         ranks = [sum(p.earnings > o.earnings for p in offerings) for o in offerings]
-        self.rooms = [int(self.shortest * max(self.LATE - self.YIELD * rank, self.LEAST)) for rank in ranks]
+        late = self.LATE - self.UNSURE * (1 - 1 / self.growth) ** 2
+        self.rooms = [int(self.shortest * max(late - self.YIELD * rank, self.LEAST)) for rank in ranks]
         self.said: deque[Decision] = deque()
         self.look_at, self.wake_at = now, self.NEVER  # when there is something to do; the timer that is out
         self.follow_at, self.follow_pause = now if permits.follow else self.NEVER, self.FOLLOW_FIRST
