--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -287,3 +287,10 @@
     host.run(15 * i.SECOND)
     host.balancer.roster.by_id[0].report = (host.now, i.Report(0, 0, -1, -1))
     assert verbs(host.take()) == ["dispatch"]
+
+
+def test_there_is_less_room_before_a_bounce_where_sidecars_are_many() -> None:
+    """At full size what was expected at nine tenths of the agreed time was late, and kept a jam going."""
+    terms = [offering(earnings=2.0), offering(earnings=1.0)]
+    few, many = (Host([entry(0)], sidecars=n, offerings=terms).balancer.rooms for n in (1, 500))
+    assert few == [360 * MS, 300 * MS] and 240 * MS <= many[1] < many[0] < 310 * MS
