--- /dev/null
+++ b/maddercart/__main__.py
@@ -0,0 +1,5 @@
+"""Starts the command line."""
+
+from maddercart.cli import app
+
+app()
--- /dev/null
+++ b/maddercart/http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP/1.1 as state machines on h11 that are fed bytes and know no socket."""
--- /dev/null
+++ b/maddercart/messages/config.py
@@ -0,0 +1,74 @@
+"""The configuration of a sidecar and the settings of its deployment."""
+
+from msgspec import Struct
+
+from maddercart.messages.upstreams import Listing
+
+
+class Charges(Struct, frozen=True):
+    cross_zone: float = 0.0
+
+
+class Feedback(Struct, frozen=True):
+    fields: list[str] = []
+
+
+class Permitted(Struct, frozen=True):
+    """The `limits` of the settings."""
+
+    most_dispatches: int
+    cancel: bool = False
+    probing: bool = False
+    retry_after: bool = False
+    max_retry_after: float = 0.0
+    connect_timeout: float = 0.25
+    idle_close: float = 30.0
+
+
+class OfferingTerms(Struct, frozen=True):
+    semantics: str
+    agreed_time: float
+    name: str = ""
+    group: str = "all"
+    window: float = 0.0
+    earnings: float = 1.0
+    tardy_earnings: float = 0.0
+    hard_stop: float = 0.0
+
+
+class Rules(Struct, frozen=True):
+    cold_from: float
+    ramp_time: float
+    fall_multiple: float
+    overload_for: float
+
+
+class Settings(Struct, frozen=True):
+    """What both hosts are told of a deployment; what the module has no use for is not read."""
+
+    offerings: list[OfferingTerms]
+    limits: Permitted
+    rules: Rules
+    charges: Charges = Charges()
+    feedback: Feedback = Feedback()
+    discovery: str = ""
+    self_index: int = 0
+    group_size: int = 1
+    zone: int = 0
+    zones: list[str] = []
+    kinds: list[str] = []
+
+
+class MachineLimits(Struct, frozen=True):
+    sockets: int = 1024
+    memory_mb: float = 192.0
+
+
+class Config(Struct, frozen=True):
+    name: str
+    listen: str
+    discovery: str
+    seed: str
+    settings: Settings
+    known: Listing
+    limits: MachineLimits = MachineLimits()
--- /dev/null
+++ b/maddercart/messages/query.py
@@ -0,0 +1,63 @@
+"""A query, read from the application's request and written to an upstream."""
+
+import re
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+from urllib.parse import unquote
+
+Headers = list[tuple[bytes, bytes]]
+
+UNITS = {"m": 1_000_000, "u": 1_000}  # of X-Expires-In, in nanoseconds
+EXPIRES = re.compile(rb"([0-9]{1,12}(?:\.[0-9]{1,6})?)([mu])")
+# A connection's own, and what is written anew for each dispatch.
+NOT_PASSED_ON = frozenset({
+    b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade",
+    b"expect", b"content-length", b"x-expires-in",
+})  # fmt: skip
+
+
+class UnfitQuery(ValueError):
+    """A request that is no query of ours; `status` tells the client which fault is its own."""
+
+    def __init__(self, status: int, reason: str) -> None:
+        super().__init__(reason)
+        self.status = status
+
+
+@dataclass(slots=True, frozen=True)
+class Query:
+    method: bytes
+    target: bytes
+    headers: Headers  # those that go on unchanged
+    body: bytes
+    offering: int  # its place in the settings
+    remaining: int  # nanoseconds that its client will wait
+
+    def headers_for(self, wait: int) -> Headers:
+        """The headers of a dispatch that is waited for so many nanoseconds."""
+        lengths = [(b"Content-Length", b"%d" % len(self.body))] if self.body or self.method != b"GET" else []
+        return [*self.headers, (b"X-Expires-In", b"%du" % max(1, wait // 1_000)), *lengths]
+
+
+def read_query(
+    method: bytes, target: bytes, headers: Sequence[tuple[bytes, bytes]], body: bytes,
+    offerings: Mapping[str, int],
+) -> Query:  # fmt: skip
+    """Raises `UnfitQuery`; `offerings` gives each name its place in the settings."""
+    named = {name.lower(): value for name, value in headers}
+    offering = offerings.get(unquote(target.decode("ascii", "replace").partition("?")[0].split("/")[1]))
+    by_header = named.get(b"x-qos")
+    if offering is None:
+        raise UnfitQuery(404, "the path names no offering")
+    if by_header is not None and offerings.get(by_header.decode("ascii", "replace")) != offering:
+        raise UnfitQuery(400, "X-Qos names no offering, or another one than the path")
+    if not named.get(b"x-trace-id"):
+        raise UnfitQuery(400, "X-Trace-Id is missing")
+    expires = EXPIRES.fullmatch(named.get(b"x-expires-in", b"").strip())
+    if expires is None:
+        raise UnfitQuery(400, "X-Expires-In is missing, or no number with its unit (m or u)")
+    remaining = int(float(expires[1]) * UNITS[expires[2].decode()])
+    if remaining <= 0:
+        raise UnfitQuery(408, "its time is already up")
+    passed = [(name, value) for name, value in headers if name.lower() not in NOT_PASSED_ON]
+    return Query(method, target, passed, body, offering, remaining)
--- /dev/null
+++ b/maddercart/net/__init__.py
@@ -0,0 +1,1 @@
+"""The driver: one epoll set, coroutines that wait on it, timers and non-blocking sockets."""
--- /dev/null
+++ b/maddercart/net/loop.py
@@ -0,0 +1,176 @@
+"""Coroutines that are plain generators. One yields a `Wait` and is resumed with why it goes on.
+
+A turn is one look at the epoll set: what it shows goes to the coroutines that waited for it, those spawned
+`first` before all others, then the timers that are due.
+"""
+
+import logging
+import select
+from collections.abc import Callable, Generator
+from heapq import heappop, heappush
+from typing import NamedTuple
+
+from maddercart.interface import SECOND
+
+log = logging.getLogger(__name__)
+
+READ, WRITE, NOTHING = select.EPOLLIN, select.EPOLLOUT, 0
+BROKEN = select.EPOLLERR | select.EPOLLHUP
+
+# Why a coroutine goes on: what epoll showed, or one of these.
+TIME_UP = 0
+WOKEN = -1
+
+
+class Wait(NamedTuple):
+    fd: int = -1  # -1: on nothing but the time and `Loop.wake`
+    events: int = NOTHING
+    until: int | None = None  # in the loop's clock
+
+
+Coroutine = Generator[Wait, int, None]
+
+
+class Task:
+    """A coroutine under way."""
+
+    __slots__ = ("coroutine", "fd", "first", "step")
+
+    def __init__(self, coroutine: Coroutine, first: bool) -> None:
+        self.coroutine: Coroutine | None = coroutine
+        self.first = first
+        self.fd = -1  # on which it waits
+        self.step = 0  # counts its resumptions: what was meant for an earlier wait is not for this one
+
+    @property
+    def over(self) -> bool:
+        return self.coroutine is None
+
+
+class Timer:
+    """Something to be called once, unless it is called off."""
+
+    __slots__ = ("call",)
+
+    def __init__(self, call: Callable[[], None]) -> None:
+        self.call: Callable[[], None] | None = call
+
+    def call_off(self) -> None:
+        self.call = None
+
+
+class Loop:
+    def __init__(self, clock: Callable[[], int]) -> None:
+        self.clock = clock
+        self.epoll = select.epoll()
+        self.waiting: dict[int, Task] = {}  # by descriptor
+        self.known: set[int] = set()  # descriptors in the epoll set
+        self.timers: list[tuple[int, int, Timer]] = []
+        self.count = 0  # of timers: those of one time go in the order they were set
+        self.ready: list[tuple[Task, int]] = []
+        self.stopped = False
+
+    # -- coroutines
+
+    def spawn(self, coroutine: Coroutine, first: bool = False) -> Task:
+        """Starts it at once and runs it up to its first wait."""
+        task = Task(coroutine, first)
+        self.resume(task, WOKEN)
+        return task
+
+    def wake(self, task: Task) -> None:
+        """Resumes a waiting coroutine before the next look at the epoll set."""
+        if not task.over:
+            self.ready.append((task, task.step))
+
+    def end(self, task: Task) -> None:
+        """Ends it where it waits; its `finally` clauses run."""
+        if (coroutine := task.coroutine) is not None:
+            self.unwait(task)
+            task.coroutine = None
+            coroutine.close()
+
+    def resume(self, task: Task, why: int) -> None:
+        self.unwait(task)
+        task.step += 1
+        assert task.coroutine is not None
+        try:
+            wait = task.coroutine.send(None if task.step == 1 else why)  # type: ignore[arg-type]
+        except StopIteration:
+            task.coroutine = None
+            return
+        except Exception:
+            # One connection's fault must not take the others down with it.
+            log.exception("coroutine failed")
+            task.coroutine = None
+            return
+        if wait.fd >= 0:
+            self.watch(wait.fd, wait.events)
+            self.waiting[wait.fd] = task
+            task.fd = wait.fd
+        if wait.until is not None:
+            step = task.step
+            self.at(wait.until, lambda: self.time_up(task, step))
+
+    def time_up(self, task: Task, step: int) -> None:
+        if task.step == step and not task.over:
+            self.resume(task, TIME_UP)
+
+    def unwait(self, task: Task) -> None:
+        if task.fd >= 0:
+            if self.waiting.get(task.fd) is task:
+                del self.waiting[task.fd]
+            task.fd = -1
+
+    # -- descriptors
+
+    def watch(self, fd: int, events: int) -> None:
+        """One shot: what nobody waits for is not shown, so that it can't spin."""
+        if fd in self.known:
+            self.epoll.modify(fd, events | select.EPOLLONESHOT)
+        else:
+            self.epoll.register(fd, events | select.EPOLLONESHOT)
+            self.known.add(fd)
+
+    def forget(self, fd: int) -> None:
+        """Before a descriptor is closed."""
+        if fd in self.known:
+            self.known.discard(fd)
+            self.epoll.unregister(fd)
+        if (task := self.waiting.pop(fd, None)) is not None:
+            task.fd = -1
+
+    # -- timers
+
+    def at(self, when: int, call: Callable[[], None]) -> Timer:
+        timer = Timer(call)
+        self.count += 1
+        heappush(self.timers, (when, self.count, timer))
+        return timer
+
+    # -- turns
+
+    def run(self) -> None:
+        while not self.stopped:
+            self.turn()
+
+    def turn(self) -> None:
+        wait = -1.0
+        while self.timers and self.timers[0][2].call is None:
+            heappop(self.timers)
+        if self.ready:
+            wait = 0.0
+        elif self.timers:
+            wait = max(0, self.timers[0][0] - self.clock()) / SECOND
+        shown = [(self.waiting[fd], events) for fd, events in self.epoll.poll(wait) if fd in self.waiting]
+        due = [(task, task.step, events) for task, events in sorted(shown, key=lambda one: not one[0].first)]
+        due += [(task, step, WOKEN) for task, step in self.ready]
+        self.ready.clear()
+        for task, step, why in due:
+            if task.step == step and not task.over:
+                self.resume(task, why)
+        now = self.clock()
+        while self.timers and self.timers[0][0] <= now:
+            timer = heappop(self.timers)[2]
+            if timer.call is not None:
+                timer.call()
--- /dev/null
+++ b/maddercart/net/sockets.py
@@ -0,0 +1,82 @@
+"""Non-blocking TCP sockets, and the few coroutines that read and write them."""
+
+import errno
+import socket
+from collections.abc import Generator
+
+from maddercart.net.loop import READ, TIME_UP, WRITE, Loop, Wait
+
+CHUNK = 65536  # read at once: what the largest body and its headers need, in two reads at most
+
+
+def address(text: str) -> tuple[str, int]:
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError(f"no address: {text!r}")
+    return host, int(port)
+
+
+def listen(at: tuple[str, int], backlog: int = 512) -> socket.socket:
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind(at)
+    sock.listen(backlog)
+    return sock
+
+
+def accept(listener: socket.socket) -> socket.socket | None:
+    """None if there is nothing to accept. Raises `OSError` if descriptors have run out."""
+    try:
+        sock, _ = listener.accept()
+    except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+        return None
+    sock.setblocking(False)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return sock
+
+
+def close(loop: Loop, sock: socket.socket) -> None:
+    if sock.fileno() >= 0:
+        loop.forget(sock.fileno())
+        sock.close()
+
+
+def connect(loop: Loop, sock: socket.socket, to: tuple[str, int], until: int) -> Generator[Wait, int, bool]:
+    """True once it is up, false if the time was up before. Raises `OSError` if it was refused."""
+    error = sock.connect_ex(to)
+    if error == errno.EINPROGRESS:
+        if (yield Wait(sock.fileno(), WRITE, until)) == TIME_UP:
+            return False
+        error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    if error:
+        raise OSError(error, "connect")
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return True
+
+
+def write(sock: socket.socket, data: bytes, until: int | None) -> Generator[Wait, int, bool]:
+    """True once the last byte is written, false if the time was up before. Raises `OSError` if it broke."""
+    view = memoryview(data)
+    while view:
+        try:
+            view = view[sock.send(view) :]
+        except BlockingIOError:
+            if (yield Wait(sock.fileno(), WRITE, until)) == TIME_UP:
+                return False
+    return True
+
+
+def read_now(sock: socket.socket) -> bytes | None:
+    """What has come, empty at the end, None if nothing has. Raises `OSError` if it broke."""
+    try:
+        return sock.recv(CHUNK)
+    except BlockingIOError:
+        return None
+
+
+def read(sock: socket.socket, until: int | None) -> Generator[Wait, int, bytes | None]:
+    """What comes, empty at the end, None if the time was up before. Raises `OSError` if it broke."""
+    while (data := read_now(sock)) is None:
+        if (yield Wait(sock.fileno(), READ, until)) == TIME_UP:
+            return None
+    return data
--- /dev/null
+++ b/maddercart/sidecar/__init__.py
@@ -0,0 +1,1 @@
+"""The real sidecar: one `Balancer`, and what carries its decisions out on sockets."""
--- /dev/null
+++ b/maddercart/sidecar/decisions.py
@@ -0,0 +1,171 @@
+"""Makes the calls on the one `Balancer`, pulls its decisions and carries them out."""
+
+import logging
+from collections import Counter, deque
+from collections.abc import Callable, Generator, Sequence
+from dataclasses import dataclass
+
+from maddercart.interface import DONE, Decision, Entry
+from maddercart.logic import Balancer
+from maddercart.messages.answer import Reply, aborted, bounced, done
+from maddercart.messages.query import Query
+from maddercart.net.loop import Coroutine, Loop, Task, Wait
+from maddercart.sidecar.dispatches import Dispatcher, Ended
+from maddercart.sidecar.endings import OUTCOMES, Ending
+from maddercart.sidecar.upstreams import Upstreams
+
+log = logging.getLogger(__name__)
+
+
+@dataclass(slots=True)
+class Held:
+    """A query that has no final answer yet."""
+
+    query: Query
+    answer: Callable[[Reply], None]
+    dispatches: int = 0
+
+
+@dataclass(slots=True)
+class Out:
+    """A dispatch that has not ended."""
+
+    number: int
+    shot: int
+    upstream: int
+    sent: int
+    task: Task | None = None
+
+
+class Decisions:
+    def __init__(
+        self, loop: Loop, clock: Callable[[], int], balancer: Balancer, upstreams: Upstreams,
+        dispatcher: Dispatcher, follow: Callable[[], None],
+    ) -> None:  # fmt: skip
+        self.loop, self.clock, self.balancer, self.upstreams = loop, clock, balancer, upstreams
+        self.dispatcher, self.follow = dispatcher, follow
+        self.taken = 0
+        self.held: dict[int, Held] = {}
+        self.out: dict[tuple[int, int], Out] = {}
+        self.arisen: deque[tuple[Out, Ended]] = deque()  # endings that came while decisions were carried out
+        self.settling = False
+        self.counts: Counter[str] = Counter()  # of what happened, for the log
+
+    # -- what happens
+
+    def take(self, query: Query, answer: Callable[[Reply], None]) -> int:
+        self.taken += 1
+        self.counts["taken"] += 1
+        number = self.taken
+        self.held[number] = Held(query, answer)
+        self.balancer.take(self.clock(), number, query.offering, query.remaining)
+        self.settle()
+        return number
+
+    def left(self, number: int) -> None:
+        if self.held.pop(number, None) is not None:
+            self.counts["left"] += 1
+            self.balancer.left(self.clock(), number)
+            self.settle()
+
+    def learn(self, entries: Sequence[Entry], whole: bool) -> None:
+        self.balancer.learn(self.clock(), entries, whole)
+        self.settle()
+
+    def list_failed(self) -> None:
+        self.balancer.list_failed(self.clock())
+        self.settle()
+
+    def woken(self) -> None:
+        self.balancer.woken(self.clock())
+        self.settle()
+
+    def ended(self, out: Out, ended: Ended) -> None:
+        """A dispatch has come to its end; the first answer that is whole ends its query."""
+        if self.out.pop((out.number, out.shot), None) is None:
+            return
+        self.arisen.append((out, ended))
+        self.settle()
+
+    # -- what is decided
+
+    def settle(self) -> None:
+        """What arises while decisions are carried out is fed back after the pull, not inside it."""
+        if self.settling:
+            return
+        self.settling = True
+        try:
+            while True:
+                while self.arisen:
+                    self.feed_back(*self.arisen.popleft())
+                now = self.clock()
+                while (decision := self.balancer.decide(now)) is not None:
+                    self.carry_out(now, decision)
+                if not self.arisen:
+                    return
+        finally:
+            self.settling = False
+
+    def feed_back(self, out: Out, ended: Ended) -> None:
+        ending, answer = ended
+        self.counts[ending.name.lower()] += 1
+        outcome, now = OUTCOMES[ending], self.clock()
+        if outcome == DONE and answer is not None and (held := self.held.pop(out.number, None)) is not None:
+            self.counts["done"] += 1
+            held.answer(done(answer.body))
+        self.balancer.outcome(
+            now, out.number, out.upstream, out.shot, now - out.sent, outcome, out.number not in self.held,
+            answer.report if answer is not None else None,
+        )  # fmt: skip
+
+    def carry_out(self, now: int, decision: Decision) -> None:
+        match decision:
+            case ("dispatch", int(number), int(upstream), int(limit)):
+                self.dispatch(now, number, upstream, limit)
+            case ("wake", int(after)):
+                self.loop.at(now + after, self.woken)
+            case ("bounce", int(number), int(after)):
+                self.answer(number, "bounced", bounced(after))
+            case ("abort", int(number)):
+                self.answer(number, "aborted", aborted())
+            case ("cancel", int(number), int(shot)):
+                self.cancel(number, shot)
+            case ("follow",):
+                self.follow()
+            case ("note", str(text)):
+                *words, last = text.split()
+                known = self.upstreams.names.get(int(last)) if last.isdigit() else None
+                log.info(" ".join([*words, known or last]))
+            case _:
+                raise TypeError(f"unknown decision {decision!r}")
+
+    def dispatch(self, now: int, number: int, upstream: int, limit: int) -> None:
+        held = self.held[number]
+        out = Out(number, held.dispatches, upstream, now)
+        held.dispatches += 1
+        self.out[number, out.shot] = out
+        task = self.loop.spawn(self.run(held.query, out, now + limit))
+        out.task = task
+
+    def run(self, query: Query, out: Out, until: int) -> Coroutine:
+        ended: Ended = (Ending.FAULT, None)
+        try:
+            ended = yield from self.send(query, out, until)
+        except Exception:
+            log.exception("dispatch failed")
+        self.ended(out, ended)
+
+    def send(self, query: Query, out: Out, until: int) -> Generator[Wait, int, Ended]:
+        dial = self.upstreams.dials.get(out.upstream)
+        return (yield from self.dispatcher.send(query, out.upstream, dial, until))
+
+    def cancel(self, number: int, shot: int) -> None:
+        out = self.out.pop((number, shot), None)
+        if out is not None and out.task is not None:
+            self.loop.end(out.task)
+            self.arisen.append((out, (Ending.CLOSED_BY_US, None)))
+
+    def answer(self, number: int, how: str, reply: Reply) -> None:
+        if (held := self.held.pop(number, None)) is not None:
+            self.counts[how] += 1
+            held.answer(reply)
--- /dev/null
+++ b/maddercart/sidecar/discovery.py
@@ -0,0 +1,95 @@
+"""Follows the list: one watch at a time. When to ask again after a failure is the module's to say."""
+
+import logging
+import socket
+from collections.abc import Callable, Generator
+
+import msgspec
+
+from maddercart.http.watch import WatchFailed, WatchSide
+from maddercart.interface import SECOND
+from maddercart.messages.upstreams import Listing, read_listing
+from maddercart.net.loop import Coroutine, Loop, Wait
+from maddercart.net.sockets import close, connect, read, write
+from maddercart.sidecar.upstreams import Upstreams
+
+log = logging.getLogger(__name__)
+
+ANSWER_WITHIN = 3 * SECOND  # of a call: a service that works through calls in turn may take a second or two
+SILENCE = 5 * SECOND  # two of the empty lines that come every 2 s are missing, and some more
+
+
+class Discovery:
+    def __init__(
+        self, loop: Loop, clock: Callable[[], int], at: tuple[str, int], upstreams: Upstreams,
+        learn: Callable[[Listing], None], failed: Callable[[], None],
+    ) -> None:  # fmt: skip
+        self.loop, self.clock, self.at, self.upstreams = loop, clock, at, upstreams
+        self.learn, self.failed = learn, failed
+        self.following = False
+
+    def follow(self) -> None:
+        """Among its fellows in a turn it comes first: a drain counts as soon as it is told."""
+        if not self.following:
+            self.following = True
+            self.loop.at(self.clock(), self.begin)
+
+    def begin(self) -> None:
+        self.loop.spawn(self.watch(), first=True)
+
+    def watch(self) -> Coroutine:
+        reason = "fault"
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        try:
+            yield from self.converse(sock)
+        except (WatchFailed, OSError) as error:
+            reason = str(error)
+        finally:
+            close(self.loop, sock)
+            self.following = False
+        log.warning("watch of the list ended", extra={"reason": reason, "seq": self.upstreams.version})
+        self.failed()
+
+    def converse(self, sock: socket.socket) -> Generator[Wait, int, None]:
+        """Ends by an exception only."""
+        until = self.clock() + ANSWER_WITHIN
+        if not (yield from connect(self.loop, sock, self.at, until)):
+            raise WatchFailed("the connection never came up")
+        side = WatchSide(f"{self.at[0]}:{self.at[1]}")
+        while self.upstreams.version is None:
+            yield from self.ask(sock, side, "/api/targets", until)
+            while not side.ended:
+                yield from self.receive(sock, side, until)
+        target = f"/api/targets?watch=1&after={self.upstreams.version}"
+        yield from self.ask(sock, side, target, until)
+        while not side.ended:
+            yield from self.receive(sock, side, until)
+            until = self.clock() + SILENCE
+        raise WatchFailed("discovery ended the watch")
+
+    def ask(
+        self, sock: socket.socket, side: WatchSide, target: str, until: int
+    ) -> Generator[Wait, int, None]:
+        if not (yield from write(sock, side.request(target), until)):
+            raise WatchFailed("discovery takes no request")
+
+    def receive(self, sock: socket.socket, side: WatchSide, until: int) -> Generator[Wait, int, None]:
+        data = yield from read(sock, until)
+        if data is None:
+            raise WatchFailed("discovery is silent")
+        for line in side.feed(data):
+            if line:
+                self.take(line)
+
+    def take(self, line: bytes) -> None:
+        """After one that can't be read, or that goes back, the whole list is asked for."""
+        version, self.upstreams.version = self.upstreams.version, None
+        try:
+            listing = read_listing(line)
+        except msgspec.MsgspecError as error:
+            raise WatchFailed(f"a line is no list: {error}") from error
+        if not listing.whole and version is None:
+            raise WatchFailed("changes came where the whole list was asked for")
+        if not listing.whole and version is not None and listing.seq < version:
+            raise WatchFailed(f"the version went back from {version} to {listing.seq}")
+        self.learn(listing)
--- /dev/null
+++ b/maddercart/sidecar/dispatches.py
@@ -0,0 +1,87 @@
+"""One dispatch: a query goes out on one connection, and that connection comes to one ending."""
+
+from collections.abc import Callable, Generator
+
+from maddercart.http.upstream import Malformed, WholeAnswer
+from maddercart.messages.answer import Answer
+from maddercart.messages.query import Query
+from maddercart.messages.report import read_report
+from maddercart.net.loop import Wait
+from maddercart.net.sockets import connect, read, write
+from maddercart.sidecar.endings import Ending, of_status
+from maddercart.sidecar.pool import Address, Connection, Pool
+
+Ended = tuple[Ending, Answer | None]
+
+
+class Dispatcher:
+    def __init__(self, pool: Pool, clock: Callable[[], int], connect_timeout: int) -> None:
+        self.pool, self.clock, self.connect_timeout = pool, clock, connect_timeout
+
+    def send(
+        self, query: Query, upstream: int, dial: Address | None, until: int
+    ) -> Generator[Wait, int, Ended]:
+        """Sends it once and never again by itself. However it ends, its connection is closed or at rest
+        before that is told, so that nothing further goes out beside it."""
+        if dial is None:
+            return Ending.NO_ADDRESS, None
+        connection, keep = self.pool.take(upstream, dial), False
+        fresh = connection is None
+        if connection is None and (connection := self.pool.open(upstream, dial)) is None:
+            return Ending.NO_DESCRIPTOR, None
+        try:
+            if fresh and (ending := (yield from self.bring_up(connection, until))) is not None:
+                return ending, None
+            ending = yield from self.write(connection, query, until)
+            if ending is not None:
+                return ending, None
+            ending, whole = yield from self.read(connection, until)
+            if whole is None:
+                return ending, None
+            keep = connection.side.reuse()
+            report = whole.header(b"endpoint-load-metrics")
+            answer = Answer(
+                whole.status, whole.body, whole.header(b"x-never-ran") == b"1",
+                read_report(report.decode("latin-1")) if report is not None else None,
+            )  # fmt: skip
+            return of_status(answer.status, answer.never_ran), answer
+        finally:
+            if keep:
+                self.pool.put(connection)
+            else:
+                self.pool.close(connection)
+
+    def bring_up(self, connection: Connection, until: int) -> Generator[Wait, int, Ending | None]:
+        within = min(until, self.clock() + self.connect_timeout)
+        try:
+            up = yield from connect(self.pool.loop, connection.sock, connection.dial, within)
+        except OSError:
+            return Ending.REFUSED
+        return None if up else Ending.NEVER_CAME_UP
+
+    def write(self, connection: Connection, query: Query, until: int) -> Generator[Wait, int, Ending | None]:
+        headers = query.headers_for(until - self.clock())
+        data = connection.side.request(query.method, query.target, headers, query.body)
+        try:
+            written = yield from write(connection.sock, data, until)
+        except OSError:
+            return Ending.BROKE_UNWRITTEN
+        return None if written else Ending.TIME_UP_UNWRITTEN
+
+    def read(
+        self, connection: Connection, until: int
+    ) -> Generator[Wait, int, tuple[Ending, WholeAnswer | None]]:
+        while True:
+            try:
+                data = yield from read(connection.sock, until)
+            except OSError:
+                return Ending.BROKE_WRITTEN, None
+            if data is None:
+                return Ending.TIME_UP, None
+            try:
+                if (whole := connection.side.feed(data)) is not None:
+                    return Ending.ANSWERED, whole
+            except Malformed:
+                return (Ending.MALFORMED if data else Ending.BROKE_WRITTEN), None
+            if not data:
+                return Ending.BROKE_WRITTEN, None
--- /dev/null
+++ b/maddercart/sidecar/endings.py
@@ -0,0 +1,48 @@
+"""How a dispatch's connection can end, and what that means to the module."""
+
+from enum import Enum, auto
+from typing import Final
+
+from maddercart.interface import CANCELLED, DONE, ERROR, FULL, RESET, TIMED_OUT, UNREACHABLE
+
+
+class Ending(Enum):
+    NO_ADDRESS = auto()  # the upstream has left the list meanwhile
+    NO_DESCRIPTOR = auto()  # none is left for a further connection
+    REFUSED = auto()  # the connection was refused
+    NEVER_CAME_UP = auto()  # within the time for that or within the dispatch's own
+    BROKE_UNWRITTEN = auto()  # before the request's last byte was written
+    TIME_UP_UNWRITTEN = auto()  # the time was up before that
+    BROKE_WRITTEN = auto()  # after it, with no whole answer
+    MALFORMED = auto()  # what came back is no answer, or over the limit
+    ANSWERED = auto()  # 200 and a whole body
+    TURNED_AWAY = auto()  # 503 or 504, and it says that it never ran
+    FAILED = auto()  # any other status: it may have run
+    TIME_UP = auto()  # nothing came in time
+    CLOSED_BY_US = auto()  # the module did not want it any more
+    FAULT = auto()  # our own code failed on it
+
+
+# What is not known never to have run may have run: all but the first six and TURNED_AWAY.
+OUTCOMES: Final = {
+    Ending.NO_ADDRESS: UNREACHABLE,
+    Ending.NO_DESCRIPTOR: UNREACHABLE,
+    Ending.REFUSED: UNREACHABLE,
+    Ending.NEVER_CAME_UP: UNREACHABLE,
+    Ending.BROKE_UNWRITTEN: UNREACHABLE,
+    Ending.TIME_UP_UNWRITTEN: UNREACHABLE,
+    Ending.BROKE_WRITTEN: RESET,
+    Ending.MALFORMED: ERROR,
+    Ending.ANSWERED: DONE,
+    Ending.TURNED_AWAY: FULL,
+    Ending.FAILED: ERROR,
+    Ending.TIME_UP: TIMED_OUT,
+    Ending.CLOSED_BY_US: CANCELLED,
+    Ending.FAULT: ERROR,
+}
+
+
+def of_status(status: int, never_ran: bool) -> Ending:
+    if status == 200:
+        return Ending.ANSWERED
+    return Ending.TURNED_AWAY if never_ran and status in (503, 504) else Ending.FAILED
--- /dev/null
+++ b/maddercart/sidecar/pool.py
@@ -0,0 +1,99 @@
+"""Connections to upstreams: idle ones are kept a while for the next dispatch."""
+
+import socket
+from collections import defaultdict
+from collections.abc import Callable
+
+from maddercart.http.upstream import UpstreamSide
+from maddercart.net.loop import READ, Coroutine, Loop, Task, Wait
+from maddercart.net.sockets import close
+
+Address = tuple[str, int]
+
+
+class Connection:
+    __slots__ = ("dial", "resting", "side", "sock", "upstream")
+
+    def __init__(self, upstream: int, dial: Address, sock: socket.socket) -> None:
+        self.upstream, self.dial, self.sock = upstream, dial, sock
+        self.side = UpstreamSide()
+        self.resting: Task | None = None
+
+    def sound(self) -> bool:
+        """A spare connection that has something to read is at its end: nothing was asked."""
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+
+class Pool:
+    """At most `most` connections, used and idle together."""
+
+    # Of the time after which an upstream closes an idle one: what is sent while it does so ends as a reset.
+    KEPT = 0.7
+
+    def __init__(self, loop: Loop, clock: Callable[[], int], idle_close: int, most: int) -> None:
+        self.loop, self.clock, self.most = loop, clock, most
+        self.kept_for = int(idle_close * self.KEPT)
+        self.idle: defaultdict[int, list[Connection]] = defaultdict(list)  # the last used one last
+        self.count = 0
+
+    def take(self, upstream: int, dial: Address) -> Connection | None:
+        """An idle one that is sound, the last used first: the others grow old and go."""
+        while spare := self.idle[upstream]:
+            connection = spare.pop()
+            self.rouse(connection)
+            if connection.dial == dial and connection.sound():
+                return connection
+            self.close(connection)
+        return None
+
+    def open(self, upstream: int, dial: Address) -> Connection | None:
+        """A new one, not connected yet; None if no descriptor is to be had."""
+        if self.count >= self.most:
+            self.drop_oldest()
+        if self.count >= self.most:
+            return None
+        try:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        except OSError:
+            return None
+        self.count += 1
+        return Connection(upstream, dial, sock)
+
+    def put(self, connection: Connection) -> None:
+        self.idle[connection.upstream].append(connection)
+        connection.resting = self.loop.spawn(self.rest(connection))
+
+    def rest(self, connection: Connection) -> Coroutine:
+        yield Wait(connection.sock.fileno(), READ, self.clock() + self.kept_for)
+        connection.resting = None
+        self.idle[connection.upstream].remove(connection)
+        self.close(connection)
+
+    def rouse(self, connection: Connection) -> None:
+        if connection.resting is not None:
+            self.loop.end(connection.resting)
+            connection.resting = None
+
+    def close(self, connection: Connection) -> None:
+        if connection.sock.fileno() >= 0:
+            self.count -= 1
+            close(self.loop, connection.sock)
+
+    def drop(self, upstream: int) -> None:
+        """Of an upstream that gets nothing new."""
+        for connection in self.idle.pop(upstream, []):
+            self.rouse(connection)
+            self.close(connection)
+
+    def drop_oldest(self) -> None:
+        for spare in self.idle.values():
+            if spare:
+                connection = spare.pop(0)
+                self.rouse(connection)
+                return self.close(connection)
--- /dev/null
+++ b/maddercart/sidecar/stopping.py
@@ -0,0 +1,57 @@
+"""SIGTERM: what was taken is answered, connections come to their end, and the sidecar leaves."""
+
+import logging
+import signal
+import socket
+from collections.abc import Callable
+
+from maddercart.interface import MILLISECOND, SECOND
+from maddercart.net.loop import READ, Coroutine, Loop, Wait
+from maddercart.sidecar.applications import Applications
+
+log = logging.getLogger(__name__)
+
+# Connections go on coming for up to 0.4 s after the signal, and SIGKILL comes 0.7 s and the longest hard stop
+# after it: what is taken within this time is still answered in time.
+ACCEPT_FOR = SECOND // 2
+LOOK_EVERY = 5 * MILLISECOND
+SPARE = SECOND // 10  # over the longest hard stop, for what is still being written
+
+
+def await_signal(loop: Loop) -> Callable[[Coroutine], None]:
+    """Has a coroutine spawned at the first SIGTERM or SIGINT. Later ones change nothing."""
+    inner, outer = socket.socketpair()
+    inner.setblocking(False)
+    outer.setblocking(False)
+    signal.set_wakeup_fd(outer.fileno(), warn_on_full_buffer=False)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: None)
+
+    def begin(coroutine: Coroutine) -> None:
+        def waiting() -> Coroutine:
+            yield Wait(inner.fileno(), READ)
+            yield from coroutine
+            outer.close()
+
+        loop.spawn(waiting())
+
+    return begin
+
+
+def stop(
+    loop: Loop, clock: Callable[[], int], listener: socket.socket, applications: Applications,
+    longest: int, leave: Callable[[], None],
+) -> Coroutine:  # fmt: skip
+    log.info("stopping", extra={"connections": len(applications.open)})
+    applications.stopping = True
+    began = clock()
+    yield Wait(until=began + ACCEPT_FOR)
+    if applications.acceptor is not None:
+        loop.end(applications.acceptor)
+    applications.accept_all(listener)  # what the machine has accepted may hold queries already
+    loop.forget(listener.fileno())
+    listener.close()
+    while applications.open and clock() < began + ACCEPT_FOR + longest + SPARE:
+        applications.close_idle()
+        yield Wait(until=clock() + LOOK_EVERY)
+    leave()
--- /dev/null
+++ b/maddercart/sidecar/upstreams.py
@@ -0,0 +1,67 @@
+"""The upstreams of the list: their numbers, and where each is dialled."""
+
+import ipaddress
+import logging
+from collections.abc import Sequence
+from hashlib import blake2b
+
+import msgspec
+
+from maddercart.interface import DRAINING, GONE, READY, Entry
+from maddercart.messages.upstreams import Host, Listing, read_host
+from maddercart.net.sockets import address
+from maddercart.sidecar.clock import from_unix_ms
+
+log = logging.getLogger(__name__)
+
+CONDITIONS = {"SERVING": READY, "DRAINING": DRAINING, "DELETED": GONE}
+
+
+def number_of(host: str) -> int:
+    """Alike in every sidecar: own sets and the cold ring rest on it. 64 bits: no two of a fleet share one."""
+    return int.from_bytes(blake2b(host.encode(), digest_size=8).digest(), "big")
+
+
+class Upstreams:
+    def __init__(self, zones: Sequence[str], kinds: Sequence[str]) -> None:
+        self.zones = {name: place for place, name in enumerate(zones)}
+        self.kinds = {name: place for place, name in enumerate(kinds)}
+        self.names: dict[int, str] = {}
+        self.dials: dict[int, tuple[str, int]] = {}  # of those that are listed, drains among them
+        self.ready: set[int] = set()
+        self.version: int | None = None  # None: the whole list must be asked for
+        self.logged: set[str] = set()
+
+    def learn(self, listing: Listing) -> list[Entry]:
+        """The lines that can be read. Another that could not be is passed over and logged once."""
+        self.version = listing.seq
+        if listing.whole:
+            self.dials, self.ready = {}, set()
+        return [entry for line in listing.hosts if (entry := self.read(line)) is not None]
+
+    def read(self, line: object) -> Entry | None:
+        try:
+            host = read_host(line)
+            return self.entry(host)
+        except (msgspec.ValidationError, ValueError, KeyError) as error:
+            reason = str(error)
+            if reason not in self.logged and len(self.logged) < 100:  # a bad list must not fill memory
+                self.logged.add(reason)
+                log.warning("list entry passed over", extra={"reason": reason})
+            return None
+
+    def entry(self, host: Host) -> Entry:
+        if host.health not in CONDITIONS or host.site not in self.zones:
+            raise ValueError(f"unknown state or zone: {host.health!r}, {host.site!r}")
+        number, condition = number_of(host.host), CONDITIONS[host.health]
+        if condition == GONE:
+            self.dials.pop(number, None)
+        else:
+            where, port = address(host.dial)
+            ipaddress.IPv4Address(where)  # a name would be looked up, which blocks
+            self.dials[number] = (where, port)
+        self.names[number] = host.host
+        (self.ready.add if condition == READY else self.ready.discard)(number)
+        kind = self.kinds.get(host.kind, len(self.kinds))
+        launched = from_unix_ms(host.born_ms)
+        return Entry(number, self.zones[host.site], kind, host.block, condition, host.share, launched)
--- /dev/null
+++ b/maddercart/translation.py
@@ -0,0 +1,66 @@
+"""The settings of a deployment, turned once into the arguments of a `Balancer`; both hosts use this."""
+
+from math import isfinite
+from typing import Any
+
+from maddercart import interface as i
+from maddercart.messages.config import OfferingTerms, Settings
+
+EFFECTS = {"free": i.REDOABLE, "guarded": i.LABELLED, "single_shot": i.IRREVERSIBLE}
+GROUPS = {"all": i.EVERYWHERE, "zone": i.SAME_ZONE, "cell": i.SAME_CELL}
+
+
+class SettingsError(ValueError):
+    """A setting is missing, or is not what it should be."""
+
+
+def nanos(name: str, seconds: float) -> int:
+    if not isfinite(seconds):
+        raise SettingsError(f"setting {name} is no length of time: {seconds!r}")
+    return round(seconds * i.SECOND)
+
+
+def one_of(name: str, table: dict[str, int], word: str) -> int:
+    if word not in table:
+        raise SettingsError(f"setting {name} is none of {', '.join(table)}: {word!r}")
+    return table[word]
+
+
+def offering(at: str, terms: OfferingTerms) -> i.Offering:
+    return i.Offering(
+        effect=one_of(at + "semantics", EFFECTS, terms.semantics),
+        group=one_of(at + "group", GROUPS, terms.group),
+        window=nanos(at + "window", terms.window),
+        agreed=nanos(at + "agreed_time", terms.agreed_time),
+        earnings=terms.earnings,
+        late_earnings=terms.tardy_earnings,
+    )
+
+
+def balancer_arguments(settings: Settings) -> dict[str, Any]:
+    """The arguments of `Balancer`, but for the clock and the seed."""
+    limits, rules = settings.limits, settings.rules
+    come_back = nanos("limits.max_retry_after", limits.max_retry_after) if limits.retry_after else 0
+    return {
+        "place": i.Place(
+            number=settings.self_index,
+            sidecars=max(1, settings.group_size),
+            zone=settings.zone,
+            zones=max(1, len(settings.zones)),
+        ),
+        "offerings": [offering(f"offerings.{n}.", terms) for n, terms in enumerate(settings.offerings)],
+        "cold": i.ColdRule(
+            start=rules.cold_from,
+            ramp=nanos("rules.ramp_time", rules.ramp_time),
+            multiple=rules.fall_multiple,
+            window=nanos("rules.overload_for", rules.overload_for),
+        ),
+        "permits": i.Permits(
+            dispatches=limits.most_dispatches,
+            cancel=limits.cancel,
+            probes=limits.probing,
+            come_back=come_back,
+            crossing=settings.charges.cross_zone,
+            follow=settings.discovery == "ask",
+        ),
+    }
--- a/maddercart/wirehost/__main__.py
+++ b/maddercart/wirehost/__main__.py
@@ -3,8 +3,8 @@
 import sys
 from typing import BinaryIO
 
+from maddercart.translation import SettingsError
 from maddercart.wirehost.host import FrameError, Host
-from maddercart.wirehost.settings import SettingsError
 
 
 def main(source: BinaryIO, sink: BinaryIO) -> int:
--- a/maddercart/wirehost/host.py
+++ b/maddercart/wirehost/host.py
@@ -5,8 +5,9 @@
 
 from maddercart.interface import DONE, SECOND, Decision, Entry, Report
 from maddercart.logic import Balancer
+from maddercart.translation import balancer_arguments
 from maddercart.wirehost import frames as f
-from maddercart.wirehost.settings import Settings, balancer_arguments, report_order
+from maddercart.wirehost.settings import read_settings, report_order
 
 MICROSECOND = 1000
 
@@ -70,7 +71,7 @@
 
     def start(self, now: int, instance: int, body: bytes, at: int, tail_at: int) -> None:
         seed, start, length = f.POWER_ON_BODY.unpack_from(body, at)
-        settings = Settings(self.slice(body, tail_at + start, length).decode())
+        settings = read_settings(self.slice(body, tail_at + start, length).decode())
         self.orders[instance] = report_order(settings)
         self.balancers[instance] = Balancer(now, seed, **balancer_arguments(settings))
 
