--- a/maddercart/cli.py
+++ b/maddercart/cli.py
@@ -1,18 +1,15 @@
 """The command line."""
 
 import logging
-from importlib.metadata import PackageNotFoundError
-from importlib.metadata import version as installed_version
 from pathlib import Path
 from typing import Annotated
 
-import msgspec
 import typer
 
-from maddercart.messages.config import Config
+from maddercart import __version__
+from maddercart.messages.config import Config, read_config
 from maddercart.sidecar import logs
 from maddercart.sidecar.node import Node, arguments
-from maddercart.translation import SettingsError
 
 app = typer.Typer(
     add_completion=False, no_args_is_help=True, pretty_exceptions_enable=False,
@@ -20,42 +17,47 @@
 )  # fmt: skip
 log = logging.getLogger(__name__)
 
-ConfigFile = Annotated[Path, typer.Option(envvar="RELAY_CONFIG", help="The configuration, as JSON.")]
+ConfigFile = Annotated[Path | None, typer.Option(envvar="RELAY_CONFIG", help="The configuration, as JSON.")]
 Level = Annotated[str, typer.Option(envvar="MADDERCART_LOG", help="DEBUG, INFO, WARNING or ERROR.")]
 
 UNFIT = 2  # the exit code for a configuration that is missing or can't be used
 
 
-def read_config(path: Path) -> Config:
-    """Raises `OSError`, `msgspec.MsgspecError`, or `ValueError` for what can't be used."""
-    config = msgspec.json.decode(path.read_bytes(), type=Config)
+def usable(path: Path | None) -> Config:
+    """The configuration. Raises `OSError`, or `ValueError` for what can't be used."""
+    if path is None:
+        raise ValueError("none is named: RELAY_CONFIG is not set")
+    config = read_config(path.read_bytes())
     arguments(config)
     int(config.seed, 16)
     return config
 
 
 @app.command()
-def serve(config: ConfigFile, level: Level = "INFO") -> None:
+def serve(config: ConfigFile = None, level: Level = "INFO") -> None:
     """Serves the application until SIGTERM."""
-    lines = logs.start(level)
-    code = 0
+    lines, code = logs.start(level), 0
     try:
-        node = Node(read_config(config))
-    except (OSError, msgspec.MsgspecError, ValueError) as error:
+        read = usable(config)
+    except (OSError, ValueError) as error:
         log.error("configuration can't be used", extra={"file": str(config), "reason": str(error)})
         code = UNFIT
     else:
-        node.run()
+        try:
+            Node(read).run()
+        except Exception:
+            log.exception("sidecar failed")
+            code = 1
     logs.flush(lines)
     raise typer.Exit(code)
 
 
 @app.command()
-def check(config: ConfigFile) -> None:
+def check(config: ConfigFile = None) -> None:
     """Reads a configuration and says whether it can be used."""
     try:
-        read = read_config(config)
-    except (OSError, msgspec.MsgspecError, SettingsError, ValueError) as error:
+        read = usable(config)
+    except (OSError, ValueError) as error:
         typer.echo(f"{config}: {error}", err=True)
         raise typer.Exit(UNFIT) from error
     typer.echo(f"{read.name}: listens at {read.listen}, {len(read.known.hosts)} upstreams known")
@@ -64,7 +66,4 @@
 @app.command()
 def version() -> None:
     """Prints the version."""
-    try:
-        typer.echo(installed_version("maddercart"))
-    except PackageNotFoundError:
-        typer.echo("not installed: run from its folder")
+    typer.echo(__version__)
--- a/maddercart/http/application.py
+++ b/maddercart/http/application.py
@@ -31,6 +31,7 @@
         self.machine = h11.Connection(h11.SERVER, max_incomplete_event_size=MOST_HEAD)
         self.request: h11.Request | None = None
         self.body = bytearray()
+        self.head = False  # the last request wants no body
         self.closing = False  # nothing more comes in, or the last answer said so
 
     def feed(self, data: bytes) -> None:
@@ -58,7 +59,7 @@
                 return None
             if isinstance(event, h11.Request):
                 self.check_length(event)
-                self.request = event
+                self.request, self.head = event, event.method == b"HEAD"
             elif isinstance(event, h11.Data):
                 self.body += event.data
                 if len(self.body) > MOST_BODY:
@@ -78,14 +79,21 @@
         if lengths and int(lengths[0]) > MOST_BODY:
             raise Unreadable(413, "the body is over the limit")
         chunked = any(name == b"transfer-encoding" for name, _ in request.headers)
-        if not (lengths or chunked or request.method in (b"GET", b"HEAD", b"DELETE", b"OPTIONS")):
+        if request.method == b"POST" and not (lengths or chunked):
             raise Unreadable(411, "the length is missing")
 
+    def go_on(self) -> bytes:
+        """What a client must be told that holds its body back until it is asked for it."""
+        if not self.machine.they_are_waiting_for_100_continue:
+            return b""
+        return self.machine.send(h11.InformationalResponse(status_code=100, headers=[])) or b""
+
     def answer(self, status: int, headers: Sequence[tuple[bytes, bytes]], body: bytes, close: bool) -> bytes:
         """The bytes of an answer; `closing` tells afterwards whether the connection goes with it."""
         said = [*headers, (b"Connection", b"close")] if close else [*headers]
         out = self.machine.send(h11.Response(status_code=status, headers=said)) or b""
-        out += self.machine.send(h11.Data(data=body)) or b""
+        if not self.head:
+            out += self.machine.send(h11.Data(data=body)) or b""
         out += self.machine.send(h11.EndOfMessage()) or b""
         if self.machine.our_state is h11.DONE and self.machine.their_state is h11.DONE:
             self.machine.start_next_cycle()
--- a/maddercart/messages/config.py
+++ b/maddercart/messages/config.py
@@ -1,5 +1,6 @@
 """The configuration of a sidecar and the settings of its deployment."""
 
+import msgspec
 from msgspec import Struct
 
 from maddercart.messages.upstreams import Listing
@@ -72,3 +73,11 @@
     settings: Settings
     known: Listing
     limits: MachineLimits = MachineLimits()
+
+
+_config = msgspec.json.Decoder(Config)
+
+
+def read_config(text: bytes) -> Config:
+    """Raises `msgspec.DecodeError`, a `ValueError`, if it isn't one."""
+    return _config.decode(text)
--- a/maddercart/messages/query.py
+++ b/maddercart/messages/query.py
@@ -7,6 +7,7 @@
 
 Headers = list[tuple[bytes, bytes]]
 
+METHODS = (b"GET", b"POST")
 UNITS = {"m": 1_000_000, "u": 1_000}  # of X-Expires-In, in nanoseconds
 EXPIRES = re.compile(rb"([0-9]{1,12}(?:\.[0-9]{1,6})?)([mu])")
 # A connection's own, and what is written anew for each dispatch.
@@ -44,8 +45,11 @@
     offerings: Mapping[str, int],
 ) -> Query:  # fmt: skip
     """Raises `UnfitQuery`; `offerings` gives each name its place in the settings."""
+    if method not in METHODS:
+        raise UnfitQuery(405, "neither GET nor POST")
     named = {name.lower(): value for name, value in headers}
-    offering = offerings.get(unquote(target.decode("ascii", "replace").partition("?")[0].split("/")[1]))
+    path = target.decode("ascii", "replace").partition("?")[0]
+    offering = offerings.get(unquote(path.removeprefix("/").partition("/")[0]))
     by_header = named.get(b"x-qos")
     if offering is None:
         raise UnfitQuery(404, "the path names no offering")
--- a/maddercart/net/sockets.py
+++ b/maddercart/net/sockets.py
@@ -11,7 +11,7 @@
 
 def address(text: str) -> tuple[str, int]:
     host, _, port = text.rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+    if not host or not port.isdigit() or int(port) > 65535:
         raise ValueError(f"no address: {text!r}")
     return host, int(port)
 
--- a/maddercart/sidecar/applications.py
+++ b/maddercart/sidecar/applications.py
@@ -20,7 +20,7 @@
 class Application:
     """One connection of it."""
 
-    __slots__ = ("number", "reply", "side", "sock", "task", "waits")
+    __slots__ = ("busy", "number", "reply", "side", "sock", "task", "waits")
 
     def __init__(self, sock: socket.socket) -> None:
         self.sock, self.side = sock, ApplicationSide()
@@ -28,11 +28,12 @@
         self.number = 0  # of the query it waits for
         self.reply: Reply | None = None
         self.waits = False  # for a reply, so that one must wake it
+        self.busy = False  # from a whole request to the last byte of its answer
 
     @property
     def between(self) -> bool:
         """Nothing has come of a further request, as far as was read."""
-        return not (self.number or self.waits or self.side.begun)
+        return not (self.busy or self.side.begun)
 
 
 class Applications:
@@ -96,19 +97,21 @@
                 yield from write(sock, out, self.until())
                 return (yield from self.linger(sock))
             if request is None:
-                if side.closing:
+                if side.closing or not (yield from write(sock, side.go_on(), self.until())):
                     return
                 data = yield from read(sock, self.clock() + self.WHOLE_WITHIN if side.begun else None)
                 if data is None:
                     return
                 side.feed(data)
                 continue
+            application.busy = True
             reply = yield from self.answer(application, request)
             if reply is None:
                 return
             out = side.answer(reply.status, reply.headers(), reply.body, self.stopping)
             if not (yield from write(sock, out, self.until())):
                 return
+            application.busy = False
 
     def until(self) -> int:
         return self.clock() + self.WRITE_WITHIN
@@ -166,9 +169,7 @@
             if application.between and application.task is not None:
                 try:
                     idle = not application.sock.recv(1, socket.MSG_PEEK)
-                except BlockingIOError:
-                    idle = True
-                except OSError:
+                except OSError:  # nothing has come, or nothing can come any more
                     idle = True
                 if idle:
                     self.loop.end(application.task)
--- a/maddercart/sidecar/decisions.py
+++ b/maddercart/sidecar/decisions.py
@@ -5,7 +5,9 @@
 from collections.abc import Callable, Generator, Sequence
 from dataclasses import dataclass
 
-from maddercart.interface import DONE, Decision, Entry
+from hdrh.histogram import HdrHistogram
+
+from maddercart.interface import DONE, MILLISECOND, Decision, Entry
 from maddercart.logic import Balancer
 from maddercart.messages.answer import Reply, aborted, bounced, done
 from maddercart.messages.query import Query
@@ -23,6 +25,7 @@
 
     query: Query
     answer: Callable[[Reply], None]
+    taken: int
     dispatches: int = 0
 
 
@@ -50,15 +53,16 @@
         self.arisen: deque[tuple[Out, Ended]] = deque()  # endings that came while decisions were carried out
         self.settling = False
         self.counts: Counter[str] = Counter()  # of what happened, for the log
+        self.times = HdrHistogram(1, 60_000, 2)  # from a query to its answer, in milliseconds
 
     # -- what happens
 
     def take(self, query: Query, answer: Callable[[Reply], None]) -> int:
         self.taken += 1
         self.counts["taken"] += 1
-        number = self.taken
-        self.held[number] = Held(query, answer)
-        self.balancer.take(self.clock(), number, query.offering, query.remaining)
+        number, now = self.taken, self.clock()
+        self.held[number] = Held(query, answer, now)
+        self.balancer.take(now, number, query.offering, query.remaining)
         self.settle()
         return number
 
@@ -110,9 +114,8 @@
         ending, answer = ended
         self.counts[ending.name.lower()] += 1
         outcome, now = OUTCOMES[ending], self.clock()
-        if outcome == DONE and answer is not None and (held := self.held.pop(out.number, None)) is not None:
-            self.counts["done"] += 1
-            held.answer(done(answer.body))
+        if outcome == DONE and answer is not None:
+            self.answer(out.number, "done", done(answer.body))
         self.balancer.outcome(
             now, out.number, out.upstream, out.shot, now - out.sent, outcome, out.number not in self.held,
             answer.report if answer is not None else None,
@@ -168,4 +171,5 @@
     def answer(self, number: int, how: str, reply: Reply) -> None:
         if (held := self.held.pop(number, None)) is not None:
             self.counts[how] += 1
+            self.times.record_value(max(1, (self.clock() - held.taken) // MILLISECOND))
             held.answer(reply)
--- a/maddercart/sidecar/endings.py
+++ b/maddercart/sidecar/endings.py
@@ -3,7 +3,7 @@
 from enum import Enum, auto
 from typing import Final
 
-from maddercart.interface import CANCELLED, DONE, ERROR, FULL, RESET, TIMED_OUT, UNREACHABLE
+from maddercart.interface import CANCELLED, DONE, ERROR, FULL, MOOT, RESET, TIMED_OUT, UNREACHABLE
 
 
 class Ending(Enum):
@@ -23,10 +23,11 @@
     FAULT = auto()  # our own code failed on it
 
 
-# What is not known never to have run may have run: all but the first six and TURNED_AWAY.
+# What is not known never to have run may have run: all but the first six and TURNED_AWAY. What is our own
+# lack (the first two) is MOOT, which the module holds against no upstream.
 OUTCOMES: Final = {
-    Ending.NO_ADDRESS: UNREACHABLE,
-    Ending.NO_DESCRIPTOR: UNREACHABLE,
+    Ending.NO_ADDRESS: MOOT,
+    Ending.NO_DESCRIPTOR: MOOT,
     Ending.REFUSED: UNREACHABLE,
     Ending.NEVER_CAME_UP: UNREACHABLE,
     Ending.BROKE_UNWRITTEN: UNREACHABLE,
--- a/maddercart/sidecar/node.py
+++ b/maddercart/sidecar/node.py
@@ -2,6 +2,7 @@
 
 import gc
 import logging
+from resource import RLIMIT_NOFILE, getrlimit
 
 from maddercart.interface import SECOND, Permits
 from maddercart.logic import Balancer
@@ -39,9 +40,10 @@
         settings, clock = config.settings, Clock()
         self.loop, self.clock = Loop(clock), clock
         self.upstreams = Upstreams(settings.zones, settings.kinds)
-        free = max(2, config.limits.sockets - RESERVE)
         limits = settings.limits
-        self.pool = Pool(self.loop, clock, nanos("limits.idle_close", limits.idle_close), free - free // 2)
+        free = max(2, min(config.limits.sockets, getrlimit(RLIMIT_NOFILE)[0]) - RESERVE)
+        idle_close = nanos("limits.idle_close", limits.idle_close)
+        self.pool = Pool(self.loop, clock, idle_close, free - free // 2, self.upstreams.ready)
         dispatcher = Dispatcher(self.pool, clock, nanos("limits.connect_timeout", limits.connect_timeout))
         balancer = Balancer(clock(), int(config.seed, 16), **arguments(config))  # type: ignore[arg-type]
         self.discovery = Discovery(
@@ -60,8 +62,7 @@
 
     def learn(self, listing: Listing) -> None:
         self.decisions.learn(self.upstreams.learn(listing), listing.whole)
-        for upstream in [number for number in self.pool.idle if number not in self.upstreams.ready]:
-            self.pool.drop(upstream)
+        self.pool.drop_unwanted()
 
     def list_failed(self) -> None:
         self.decisions.list_failed()
@@ -70,15 +71,20 @@
         """Serves until it is told to stop."""
         begin = await_signal(self.loop)
         begin(stop(self.loop, self.clock, self.listener, self.applications, self.longest, self.leave))
-        self.learn(self.known)
-        self.applications.acceptor = self.loop.spawn(self.applications.accept_from(self.listener))
-        self.loop.spawn(self.tell())
+        self.start()
         gc.collect()
         gc.freeze()  # what is there from the start need not be looked through again
-        log.info("serving", extra={"upstreams": len(self.upstreams.ready), "seq": self.upstreams.version})
+        at = "{}:{}".format(*self.listener.getsockname())
+        log.info("serving", extra={"listen": at, "upstreams": len(self.upstreams.ready)})
         self.loop.run()
         log.info("stopped", extra=self.figures())
 
+    def start(self) -> None:
+        """The list last known comes before any query."""
+        self.learn(self.known)
+        self.applications.acceptor = self.loop.spawn(self.applications.accept_from(self.listener))
+        self.loop.spawn(self.tell())
+
     def leave(self) -> None:
         self.loop.stopped = True
 
@@ -89,12 +95,15 @@
             if self.decisions.counts:
                 log.info("counts", extra=self.figures())
                 self.decisions.counts.clear()
+                self.decisions.times.reset()
 
     def figures(self) -> dict[str, int]:
         return {
             **dict(sorted(self.decisions.counts.items())),
+            "p50_ms": self.decisions.times.get_value_at_percentile(50),
+            "p99_ms": self.decisions.times.get_value_at_percentile(99),
             "held": len(self.decisions.held), "out": len(self.decisions.out),
-            "connections": len(self.applications.open), "pool": self.pool.count,
+            "connections": len(self.applications.open), "to_upstreams": self.pool.count,
         }  # fmt: skip
 
 
--- a/maddercart/sidecar/pool.py
+++ b/maddercart/sidecar/pool.py
@@ -2,7 +2,7 @@
 
 import socket
 from collections import defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Container
 
 from maddercart.http.upstream import UpstreamSide
 from maddercart.net.loop import READ, Coroutine, Loop, Task, Wait
@@ -36,8 +36,11 @@
     # Of the time after which an upstream closes an idle one: what is sent while it does so ends as a reset.
     KEPT = 0.7
 
-    def __init__(self, loop: Loop, clock: Callable[[], int], idle_close: int, most: int) -> None:
+    def __init__(
+        self, loop: Loop, clock: Callable[[], int], idle_close: int, most: int, wanted: Container[int]
+    ) -> None:
         self.loop, self.clock, self.most = loop, clock, most
+        self.wanted = wanted  # upstreams that may get something new
         self.kept_for = int(idle_close * self.KEPT)
         self.idle: defaultdict[int, list[Connection]] = defaultdict(list)  # the last used one last
         self.count = 0
@@ -66,6 +69,8 @@
         return Connection(upstream, dial, sock)
 
     def put(self, connection: Connection) -> None:
+        if connection.upstream not in self.wanted:
+            return self.close(connection)
         self.idle[connection.upstream].append(connection)
         connection.resting = self.loop.spawn(self.rest(connection))
 
@@ -85,11 +90,12 @@
             self.count -= 1
             close(self.loop, connection.sock)
 
-    def drop(self, upstream: int) -> None:
-        """Of an upstream that gets nothing new."""
-        for connection in self.idle.pop(upstream, []):
-            self.rouse(connection)
-            self.close(connection)
+    def drop_unwanted(self) -> None:
+        """The spare ones of upstreams that get nothing new."""
+        for upstream in [upstream for upstream in self.idle if upstream not in self.wanted]:
+            for connection in self.idle.pop(upstream):
+                self.rouse(connection)
+                self.close(connection)
 
     def drop_oldest(self) -> None:
         for spare in self.idle.values():
--- a/maddercart/sidecar/upstreams.py
+++ b/maddercart/sidecar/upstreams.py
@@ -36,7 +36,9 @@
         """The lines that can be read. Another that could not be is passed over and logged once."""
         self.version = listing.seq
         if listing.whole:
-            self.dials, self.ready = {}, set()
+            self.names.clear()
+            self.dials.clear()
+            self.ready.clear()
         return [entry for line in listing.hosts if (entry := self.read(line)) is not None]
 
     def read(self, line: object) -> Entry | None:
@@ -55,12 +57,12 @@
             raise ValueError(f"unknown state or zone: {host.health!r}, {host.site!r}")
         number, condition = number_of(host.host), CONDITIONS[host.health]
         if condition == GONE:
+            self.names.pop(number, None)
             self.dials.pop(number, None)
         else:
             where, port = address(host.dial)
             ipaddress.IPv4Address(where)  # a name would be looked up, which blocks
-            self.dials[number] = (where, port)
-        self.names[number] = host.host
+            self.names[number], self.dials[number] = host.host, (where, port)
         (self.ready.add if condition == READY else self.ready.discard)(number)
         kind = self.kinds.get(host.kind, len(self.kinds))
         launched = from_unix_ms(host.born_ms)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,10 +1,18 @@
-"""A host small enough to read: it makes the calls, pulls the decisions and keeps what is out."""
-
+"""A host small enough to read: it makes the calls, pulls the decisions and keeps what is out. And a sidecar
+on sockets, with stand-ins round it."""
+
+import json
+import select
+import socket
+import time
+from collections.abc import Callable
 from random import Random
 from typing import Any
 
 from maddercart import interface as i
 from maddercart.logic import Balancer
+from maddercart.messages.config import read_config
+from maddercart.sidecar.node import Node
 
 MS = i.MILLISECOND
 
@@ -82,3 +90,122 @@
             made += self.pull()
         self.now = until
         return made
+
+
+# -- for the sidecar on sockets
+
+
+def host(name: str = "s-1", dial: str = "127.0.0.1:1", **more: Any) -> dict[str, Any]:
+    line = {"host": name, "dial": dial, "site": "a", "class": "m", "block": 0, "health": "SERVING"}
+    return line | {"share": 1.0, "born_ms": 0} | more
+
+
+def config(hosts: list[dict[str, Any]], **more: Any) -> bytes:
+    """A sidecar's configuration with two offerings, `look` redoable and `post` labelled."""
+    terms = {"group": "zone", "agreed_time": 0.5, "hard_stop": 1.0, "window": 1.0}
+    kinds = (("look", "free"), ("post", "guarded"))
+    offerings = [{"name": name, "semantics": effect} | terms for name, effect in kinds]
+    limits = {"most_dispatches": 3, "cancel": True, "retry_after": True, "max_retry_after": 1.0}
+    settings = {
+        "offerings": offerings,
+        "limits": limits | {"connect_timeout": 0.1, "idle_close": 30.0},
+        "rules": {"cold_from": 0.2, "ramp_time": 10.0, "fall_multiple": 3.0, "overload_for": 1.0},
+        "discovery": "ask", "group_size": 1, "zones": ["a", "b"], "kinds": ["m"],
+    }  # fmt: skip
+    whole = {
+        "name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "8c1f",
+        "settings": settings,
+        "known": {"seq": 1, "whole": True, "hosts": hosts}, "limits": {"sockets": 1024, "memory_mb": 192},
+    }  # fmt: skip
+    return json.dumps(whole | more).encode()
+
+
+def request(offering: str = "look", expires: str = "400m", body: str = "", more: str = "") -> bytes:
+    lines = f"X-Trace-Id: t1\r\nX-Qos: {offering}\r\nX-Expires-In: {expires}\r\n{more}"
+    if offering == "look":
+        return f"GET /look?sid=7 HTTP/1.1\r\nHost: origin.svc\r\n{lines}\r\n".encode()
+    length = f"Idempotency-Key: k1\r\nContent-Length: {len(body)}\r\n"
+    return f"POST /post?sid=7 HTTP/1.1\r\nHost: origin.svc\r\n{lines}{length}\r\n{body}".encode()
+
+
+def answer(status: int = 200, body: str = "well", more: str = "") -> bytes:
+    return f"HTTP/1.1 {status} x\r\n{more}Content-Length: {len(body)}\r\n\r\n{body}".encode()
+
+
+class Desk:
+    """A sidecar in this thread, turned by hand, with a stand-in for each upstream and for discovery."""
+
+    def __init__(self, upstreams: int = 1, **more: Any) -> None:
+        self.ears = [socket.create_server(("127.0.0.1", 0)) for _ in range(upstreams)]
+        self.discovery = socket.create_server(("127.0.0.1", 0))
+        self.dials = ["{}:{}".format(*ear.getsockname()) for ear in self.ears]
+        at = "{}:{}".format(*self.discovery.getsockname())
+        hosts = [host(f"s-{n}", dial) for n, dial in enumerate(self.dials)]
+        self.node = Node(read_config(config(**({"hosts": hosts, "discovery": at} | more))))
+        self.node.start()
+        self.opened: list[socket.socket] = [*self.ears, self.discovery]
+
+    def __enter__(self) -> "Desk":
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        for sock in [*self.opened, self.node.listener]:
+            sock.close()
+        for task in list(self.node.loop.waiting.values()):
+            self.node.loop.end(task)
+        self.node.loop.epoll.close()
+
+    def turn(self, until: Callable[[], Any], within: float = 3.0) -> Any:
+        """Turns until something is so, and says it."""
+        loop, end = self.node.loop, time.monotonic() + within
+        while not (so := until()):
+            assert time.monotonic() < end, "it did not come about"
+            loop.at(loop.clock() + MS, lambda: None)
+            loop.turn()
+        return so
+
+    def turn_for(self, seconds: float) -> None:
+        end = time.monotonic() + seconds
+        self.turn(lambda: time.monotonic() >= end)
+
+    def client(self) -> socket.socket:
+        sock = socket.create_connection(self.node.listener.getsockname())
+        self.opened.append(sock)
+        return sock
+
+    def accept(self, ear: int = 0) -> socket.socket:
+        return self.accept_from(self.ears[ear])
+
+    def accept_from(self, ear: socket.socket) -> socket.socket:
+        ear.setblocking(False)
+        self.turn(lambda: select.select([ear], [], [], 0)[0])
+        sock, _ = ear.accept()
+        self.opened.append(sock)
+        return sock
+
+    def read(self, sock: socket.socket, until: bytes = b"\r\n\r\n") -> bytes:
+        """All that comes up to and with the chunk that holds `until`; empty if it ends before."""
+        sock.setblocking(False)
+        got = bytearray()
+
+        def more() -> bool:
+            try:
+                chunk = sock.recv(65536)
+            except BlockingIOError:
+                return False
+            except ConnectionError:
+                chunk = b""
+            got.extend(chunk)
+            return not chunk or until in got
+
+        self.turn(more)
+        return bytes(got)
+
+    def ask(self, offering: str = "look", **more: str) -> socket.socket:
+        client = self.client()
+        client.sendall(request(offering, **more))
+        return client
+
+    def reply(self, client: socket.socket) -> int:
+        """The status that a client gets."""
+        return int(self.read(client).split(b" ", 2)[1])
