Each change of the group's state is noted, also one that a canary made

Checked: the code. Group.step compared the state at its start and end, and Group.canary changes it between two steps, so that change never was a note. The state last told is kept now; the new test fails on the module before.

--- a/maddercart/logic.py
+++ b/maddercart/logic.py
@@ -238,10 +238,10 @@
 
     def __init__(self, place: Place, chance: Random) -> None:
         self.spread, self.draw = chance.uniform, chance.random
-        others = [zone for zone in range(place.zones) if zone != place.zone]
-        self.order = [place.zone, *sorted(others, key=lambda zone: mix(place.number, zone))]
+        self.order = sorted(range(place.zones), key=lambda z: (z != place.zone, mix(place.number, z)))
         self.home, self.backups = self.order[:1], self.order[1:]
         self.state, self.serving = PRIMARY, place.zone  # serving: the backup that is asked or stands in
+        self.told = PRIMARY  # the state last noted: a canary changes it between two steps
         self.failed: deque[int] = deque(maxlen=self.FAILURES)  # times of the failures in a row
         self.entries, self.timer, self.returned = 0, 0, -self.RISE
         self.canary_zone: int | None = None
@@ -275,9 +275,8 @@
             self.failed.clear()
 
     def step(self, now: int) -> str | None:
-        """Moves on by what is known; a note if the state changed."""
-        before, count = self.state, len(self.failed)
-        since = now - self.failed[0] if count else 0
+        """Moves on by what is known; a note if the state is not the one last told."""
+        count, since = len(self.failed), now - self.failed[0] if self.failed else 0
         failing = (count == self.FAILURES and since <= self.WITHIN) or (count > 1 and since >= self.STRETCH)
         if self.state != PRIMARY and self.serving in self.home:  # the list has changed
             self.enter_primary(now - self.RISE)
@@ -291,6 +290,7 @@
             self.canary_sent, self.canary_until = False, now + self.CANARY_WAIT
         elif self.canary_zone is not None and now >= self.canary_until:
             self.canary(now, False)
+        before, self.told = self.told, self.state
         return f"{before} to {self.state}" if self.state != before else None
 
     def due(self, now: int) -> int:  # when to step, if nothing comes in before
--- a/maddercart/sidecar/node.py
+++ b/maddercart/sidecar/node.py
@@ -30,14 +30,13 @@
     """Raises `SettingsError`. On sockets the list comes only when asked for, and there is no probe."""
     made = balancer_arguments(config.settings)
     permits: Permits = made["permits"]
-    if permits.probes:
-        log.warning("the settings allow probes, and this protocol has none")
     return made | {"permits": permits._replace(follow=True, probes=False)}
 
 
 class Node:
     def __init__(self, config: Config) -> None:
         settings, clock = config.settings, Clock()
+        self.settings = settings
         self.loop, self.clock = Loop(clock), clock
         self.upstreams = Upstreams(settings.zones, settings.kinds)
         limits = settings.limits
@@ -74,6 +73,8 @@
         self.start()
         gc.collect()
         gc.freeze()  # what is there from the start need not be looked through again
+        if self.settings.limits.probing:
+            log.warning("the settings allow probes, and this protocol has none")
         at = "{}:{}".format(*self.listener.getsockname())
         log.info("serving", extra={"listen": at, "upstreams": len(self.upstreams.ready)})
         self.loop.run()
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -98,6 +98,16 @@
     assert group.state == "BACKUP" and group.zones(failing.now)[0] == 1
 
 
+def test_each_change_of_the_groups_state_is_noted_also_one_that_a_canary_made(failing: Host) -> None:
+    """On call saw a failover begin and never whether the traffic had moved."""
+    group = failing.balancer.group
+    group.canary(failing.now, True)
+    assert group.step(failing.now) == "FAILOVER to BACKUP" and group.step(failing.now) is None
+    assert group.step(group.timer) == "BACKUP to RECOVERY"
+    group.canary(group.timer, True)
+    assert group.step(group.timer) == "RECOVERY to PRIMARY"
+
+
 def test_a_primary_success_cancels_the_failover(failing: Host) -> None:
     failing.balancer.group.heard(failing.now, 0, True)
     assert failing.balancer.group.state == "PRIMARY"
