--- a/maddercart/sidecar/decisions.py
+++ b/maddercart/sidecar/decisions.py
@@ -114,6 +114,12 @@
         ending, answer = ended
         self.counts[ending.name.lower()] += 1
         outcome, now = OUTCOMES[ending], self.clock()
+        if log.isEnabledFor(logging.DEBUG):
+            log.debug("dispatch ended", extra={
+                "query": out.number, "shot": out.shot, "ending": ending.name.lower(),
+                "upstream": self.upstreams.names.get(out.upstream), "ms": (now - out.sent) // MILLISECOND,
+                "report": answer.report if answer is not None else None,
+            })  # fmt: skip
         if outcome == DONE and answer is not None:
             self.answer(out.number, "done", done(answer.body))
         self.balancer.outcome(
