--- a/maddercart/net/loop.py
+++ b/maddercart/net/loop.py
@@ -173,4 +173,7 @@
         while self.timers and self.timers[0][0] <= now:
             timer = heappop(self.timers)[2]
             if timer.call is not None:
-                timer.call()
+                try:
+                    timer.call()
+                except Exception:
+                    log.exception("timer failed")  # as with a coroutine: the rest goes on
--- a/maddercart/sidecar/stopping.py
+++ b/maddercart/sidecar/stopping.py
@@ -48,7 +48,10 @@
     yield Wait(until=began + ACCEPT_FOR)
     if applications.acceptor is not None:
         loop.end(applications.acceptor)
-    applications.accept_all(listener)  # what the machine has accepted may hold queries already
+    try:
+        applications.accept_all(listener)  # what the machine has accepted may hold queries already
+    except OSError as error:
+        log.warning("connections can't be accepted", extra={"reason": str(error)})
     loop.forget(listener.fileno())
     listener.close()
     while applications.open and clock() < began + ACCEPT_FOR + longest + SPARE:
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -211,6 +211,16 @@
         assert not decisions.held and not decisions.out and decisions.counts["left"] == 1
 
 
+def test_half_a_request_is_none() -> None:
+    with Desk() as desk:
+        client = desk.client()
+        client.sendall(request("post", body="abc")[:-1])
+        desk.turn(lambda: any(application.side.begun for application in desk.node.applications.open))
+        client.close()
+        desk.turn(lambda: not desk.node.applications.open)
+        assert not desk.node.decisions.taken
+
+
 def test_a_client_that_breaks_off_while_it_is_answered_harms_no_other() -> None:
     with Desk() as desk:
         client, other = desk.ask(), desk.ask()
@@ -364,7 +374,11 @@
         yield Wait(until=loop.clock())
         raise RuntimeError("a fault of one must not end the others")
 
+    def broken() -> None:
+        raise RuntimeError("nor may that of a timer")
+
     loop.spawn(failing())
+    loop.at(loop.clock(), broken)
     task = loop.spawn(waiter())
     far.send(b"x")
     began = time.monotonic()
