--- a/maddercart/http/application.py
+++ b/maddercart/http/application.py
@@ -1,6 +1,7 @@
 """The side towards the application: requests come out of the bytes it sends, answers go back as bytes."""
 
 from collections.abc import Sequence
+from http import HTTPStatus
 from typing import NamedTuple
 
 import h11
@@ -9,6 +10,13 @@
 MOST_HEAD = 16384  # of a request's headers: what is usual among servers
 
 
+def phrase(status: int) -> bytes:
+    try:
+        return HTTPStatus(status).phrase.encode()
+    except ValueError:
+        return b""
+
+
 class Request(NamedTuple):
     method: bytes
     target: bytes
@@ -91,7 +99,7 @@
     def answer(self, status: int, headers: Sequence[tuple[bytes, bytes]], body: bytes, close: bool) -> bytes:
         """The bytes of an answer; `closing` tells afterwards whether the connection goes with it."""
         said = [*headers, (b"Connection", b"close")] if close else [*headers]
-        out = self.machine.send(h11.Response(status_code=status, headers=said)) or b""
+        out = self.machine.send(h11.Response(status_code=status, headers=said, reason=phrase(status))) or b""
         if not self.head:
             out += self.machine.send(h11.Data(data=body)) or b""
         out += self.machine.send(h11.EndOfMessage()) or b""
--- a/maddercart/http/upstream.py
+++ b/maddercart/http/upstream.py
@@ -1,6 +1,7 @@
 """The side towards an upstream: one request out as bytes, one answer out of the bytes that come back."""
 
 from collections.abc import Sequence
+from typing import NamedTuple
 
 import h11
 
@@ -11,14 +12,10 @@
     """What came back is no answer, or one over the limit."""
 
 
-class WholeAnswer:
-    __slots__ = ("body", "headers", "status")
-
-    def __init__(self, status: int, headers: Sequence[tuple[bytes, bytes]], body: bytes) -> None:
-        self.status, self.headers, self.body = status, headers, body
-
-    def header(self, name: bytes) -> bytes | None:
-        return next((value for other, value in self.headers if other == name), None)
+class WholeAnswer(NamedTuple):
+    status: int
+    headers: Sequence[tuple[bytes, bytes]]  # the names as they were written
+    body: bytes
 
 
 class UpstreamSide:
@@ -55,7 +52,7 @@
                 elif isinstance(event, h11.EndOfMessage):
                     response, body, self.response, self.body = self.response, self.body, None, bytearray()
                     assert response is not None
-                    return WholeAnswer(response.status_code, list(response.headers), bytes(body))
+                    return WholeAnswer(response.status_code, response.headers.raw_items(), bytes(body))
                 elif isinstance(event, h11.ConnectionClosed):
                     return None
         except h11.RemoteProtocolError as error:
--- a/maddercart/messages/answer.py
+++ b/maddercart/messages/answer.py
@@ -1,8 +1,14 @@
 """Answers: what an upstream sends back, and the final one that the application gets."""
 
-from dataclasses import dataclass
+from collections.abc import Sequence
+from dataclasses import dataclass, field
 
 from maddercart.interface import SECOND, Report
+from maddercart.messages.headers import Headers, passed_on
+from maddercart.messages.report import read_report
+
+LOAD, NEVER_RAN = b"endpoint-load-metrics", b"x-never-ran"
+OURS = frozenset({LOAD, NEVER_RAN})
 
 
 @dataclass(slots=True, frozen=True)
@@ -10,11 +16,19 @@
     """A whole answer of an upstream."""
 
     status: int
+    headers: Headers  # those that go on to the application
     body: bytes
     never_ran: bool  # it says so itself
     report: Report | None
 
 
+def read_answer(status: int, headers: Sequence[tuple[bytes, bytes]], body: bytes) -> Answer:
+    named = {name.lower(): value for name, value in headers}
+    load = named.get(LOAD)
+    report = None if load is None else read_report(load.decode("latin-1"))
+    return Answer(status, passed_on(headers, OURS), body, named.get(NEVER_RAN) == b"1", report)
+
+
 @dataclass(slots=True, frozen=True)
 class Reply:
     """What the application is told. 429 and 503 mean bounced, and nothing but a bounce may say them."""
@@ -22,16 +36,17 @@
     status: int
     body: bytes
     come_back: int = 0  # nanoseconds; 0: unsaid
+    passed: Headers = field(default_factory=list)  # an upstream's
 
-    def headers(self) -> list[tuple[bytes, bytes]]:
-        said = [(b"Content-Length", b"%d" % len(self.body))]
+    def headers(self) -> Headers:
+        said = [*self.passed, (b"Content-Length", b"%d" % len(self.body))]
         if self.come_back:
             said.append((b"Retry-After", b"%.3f" % (self.come_back / SECOND)))
         return said
 
 
-def done(body: bytes) -> Reply:
-    return Reply(200, body)
+def done(answer: Answer) -> Reply:
+    return Reply(200, answer.body, passed=answer.headers)
 
 
 def bounced(come_back: int) -> Reply:
--- a/maddercart/messages/query.py
+++ b/maddercart/messages/query.py
@@ -5,16 +5,12 @@
 from dataclasses import dataclass
 from urllib.parse import unquote
 
-Headers = list[tuple[bytes, bytes]]
+from maddercart.messages.headers import Headers, passed_on
 
 METHODS = (b"GET", b"POST")
 UNITS = {"m": 1_000_000, "u": 1_000}  # of X-Expires-In, in nanoseconds
 EXPIRES = re.compile(rb"([0-9]{1,12}(?:\.[0-9]{1,6})?)([mu])")
-# A connection's own, and what is written anew for each dispatch.
-NOT_PASSED_ON = frozenset({
-    b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade",
-    b"expect", b"content-length", b"x-expires-in",
-})  # fmt: skip
+OURS = frozenset({b"x-expires-in"})  # written anew for each dispatch
 
 
 class UnfitQuery(ValueError):
@@ -63,5 +59,4 @@
     remaining = int(float(expires[1]) * UNITS[expires[2].decode()])
     if remaining <= 0:
         raise UnfitQuery(408, "its time is already up")
-    passed = [(name, value) for name, value in headers if name.lower() not in NOT_PASSED_ON]
-    return Query(method, target, passed, body, offering, remaining)
+    return Query(method, target, passed_on(headers, OURS), body, offering, remaining)
--- a/maddercart/net/sockets.py
+++ b/maddercart/net/sockets.py
@@ -1,6 +1,7 @@
 """Non-blocking TCP sockets, and the few coroutines that read and write them."""
 
 import errno
+import os
 import socket
 from collections.abc import Generator
 
@@ -49,7 +50,7 @@
             return False
         error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
     if error:
-        raise OSError(error, "connect")
+        raise OSError(error, os.strerror(error))
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     return True
 
--- a/maddercart/sidecar/decisions.py
+++ b/maddercart/sidecar/decisions.py
@@ -121,7 +121,7 @@
                 "report": answer.report if answer is not None else None,
             })  # fmt: skip
         if outcome == DONE and answer is not None:
-            self.answer(out.number, "done", done(answer.body))
+            self.answer(out.number, "done", done(answer))
         self.balancer.outcome(
             now, out.number, out.upstream, out.shot, now - out.sent, outcome, out.number not in self.held,
             answer.report if answer is not None else None,
--- a/maddercart/sidecar/dispatches.py
+++ b/maddercart/sidecar/dispatches.py
@@ -3,9 +3,8 @@
 from collections.abc import Callable, Generator
 
 from maddercart.http.upstream import Malformed, WholeAnswer
-from maddercart.messages.answer import Answer
+from maddercart.messages.answer import Answer, read_answer
 from maddercart.messages.query import Query
-from maddercart.messages.report import read_report
 from maddercart.net.loop import Wait
 from maddercart.net.sockets import connect, read, write
 from maddercart.sidecar.endings import Ending, of_status
@@ -39,11 +38,7 @@
             if whole is None:
                 return ending, None
             keep = connection.side.reuse()
-            report = whole.header(b"endpoint-load-metrics")
-            answer = Answer(
-                whole.status, whole.body, whole.header(b"x-never-ran") == b"1",
-                read_report(report.decode("latin-1")) if report is not None else None,
-            )  # fmt: skip
+            answer = read_answer(*whole)
             return of_status(answer.status, answer.never_ran), answer
         finally:
             if keep:
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -287,6 +287,17 @@
         assert b"Retry-After: 0.0" in desk.read(desk.ask())
 
 
+def test_an_answer_goes_on_with_its_headers_but_for_those_of_the_connection() -> None:
+    """A body without its Content-Encoding is another body."""
+    with Desk() as desk:
+        client = desk.ask()
+        desk.read(upstream := desk.accept())
+        upstream.sendall(answer(more="Content-Encoding: br\r\nKeep-Alive: timeout=9\r\nX-Never-Ran: 0\r\n"))
+        got = desk.read(client)
+        assert got.startswith(b"HTTP/1.1 200 OK\r\nContent-Encoding: br\r\n")
+        assert got.endswith(b"\r\n\r\nwell") and got.count(b"\r\n") == 4
+
+
 def test_a_slow_reader_holds_up_no_one_else() -> None:
     with Desk() as desk:
         slow = desk.client()
