--- a/maddercart/net/loop.py
+++ b/maddercart/net/loop.py
@@ -10,13 +10,16 @@
 from heapq import heappop, heappush
 from typing import NamedTuple
 
-from maddercart.interface import SECOND
+from maddercart.interface import MILLISECOND, SECOND
 
 log = logging.getLogger(__name__)
 
 READ, WRITE, NOTHING = select.EPOLLIN, select.EPOLLOUT, 0
 BROKEN = select.EPOLLERR | select.EPOLLHUP
 
+# A timer this late is told: more than a turn with many queries takes, and more than an answer may be late.
+LATE = 50 * MILLISECOND
+
 # Why a coroutine goes on: what epoll showed, or one of these.
 TIME_UP = 0
 WOKEN = -1
@@ -170,6 +173,8 @@
             if task.step == step and not task.over:
                 self.resume(task, why)
         now = self.clock()
+        if self.timers and now - self.timers[0][0] > LATE:
+            log.warning("stood still", extra={"ms": (now - self.timers[0][0]) // MILLISECOND})
         while self.timers and self.timers[0][0] <= now:
             timer = heappop(self.timers)[2]
             if timer.call is not None:
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -401,6 +401,18 @@
     loop.epoll.close()
 
 
+def test_a_loop_that_was_held_up_says_so(caplog: pytest.LogCaptureFixture) -> None:
+    """Without the line, answers that seem slow would be blamed on upstreams."""
+    loop = Loop(lambda: 100 * MS)
+    loop.at(80 * MS, lambda: None)
+    loop.turn()
+    assert not caplog.records
+    loop.at(10 * MS, lambda: None)
+    loop.turn()
+    assert [record.message for record in caplog.records] == ["stood still"]
+    loop.epoll.close()
+
+
 def test_our_clock_starts_at_the_wall_clocks_time() -> None:
     """A start told twice must be the same time twice: a later one would be taken for a restart."""
     clock = Clock()
