A watch that can't begin is begun again: the list was never asked for any more

Seen in reading the code, shown by the new test on the code before: socket() outside the guarded part of Discovery.watch raised where descriptors had run out, and 'following' stayed set. Now however a watch ends the module is told.

--- a/maddercart/sidecar/discovery.py
+++ b/maddercart/sidecar/discovery.py
@@ -38,16 +38,19 @@
         self.loop.spawn(self.watch(), first=True)
 
     def watch(self) -> Coroutine:
-        reason = "fault"
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        """However it ends, the module is told, or nobody would ever ask again."""
         try:
-            yield from self.converse(sock)
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+            try:
+                yield from self.converse(sock)
+            finally:
+                close(self.loop, sock)
         except (WatchFailed, OSError) as error:
-            reason = str(error)
-        finally:
-            close(self.loop, sock)
-            self.following = False
-        log.warning("watch of the list ended", extra={"reason": reason, "seq": self.upstreams.version})
+            seq = self.upstreams.version
+            log.warning("watch of the list ended", extra={"reason": str(error), "seq": seq})
+        except Exception:
+            log.exception("watch failed")
+        self.following = False
         self.failed()
 
     def converse(self, sock: socket.socket) -> Generator[Wait, int, None]:
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -11,6 +11,7 @@
 import time
 from collections.abc import Callable
 from pathlib import Path
+from types import SimpleNamespace
 
 import pytest
 
@@ -369,6 +370,24 @@
         watched(desk)
 
 
+@pytest.mark.parametrize("fault", [OSError("no descriptor is left"), RuntimeError("a fault of ours")])
+def test_a_watch_that_cannot_begin_is_begun_again(monkeypatch: pytest.MonkeyPatch, fault: Exception) -> None:
+    """It was taken for one that goes on, and the list was never asked for again."""
+    faults = [fault]
+
+    def opened(*kind: int) -> socket.socket:
+        if faults:
+            raise faults.pop()
+        return socket.socket(*kind)
+
+    names = {name: getattr(socket, name) for name in ("AF_INET", "SOCK_STREAM", "SOCK_NONBLOCK")}
+    stand_in = SimpleNamespace(socket=opened, **names)
+    monkeypatch.setattr("maddercart.sidecar.discovery.socket", stand_in)
+    with Desk() as desk:
+        watched(desk)
+        assert not faults
+
+
 # -- the loop and the clock
 
 
