--- a/maddercart/sidecar/applications.py
+++ b/maddercart/sidecar/applications.py
@@ -88,32 +88,34 @@
 
     def converse(self, application: Application) -> Generator[Wait, int, None]:
         side, sock = application.side, application.sock
+        whole_by: int | None = None  # once a request has begun
         while not side.closing:
             try:
                 request = side.next_request()
             except Unreadable as error:
                 refusal = unfit(error.status, str(error))
                 out = side.answer(refusal.status, refusal.headers(), refusal.body, close=True)
-                yield from write(sock, out, self.until())
+                yield from write(sock, out, self.write_by())
                 return (yield from self.linger(sock))
             if request is None:
-                if side.closing or not (yield from write(sock, side.go_on(), self.until())):
+                if side.closing or not (yield from write(sock, side.go_on(), self.write_by())):
                     return
-                data = yield from read(sock, self.clock() + self.WHOLE_WITHIN if side.begun else None)
+                whole_by = (whole_by or self.clock() + self.WHOLE_WITHIN) if side.begun else None
+                data = yield from read(sock, whole_by)
                 if data is None:
                     return
                 side.feed(data)
                 continue
-            application.busy = True
+            application.busy, whole_by = True, None
             reply = yield from self.answer(application, request)
             if reply is None:
                 return
             out = side.answer(reply.status, reply.headers(), reply.body, self.stopping)
-            if not (yield from write(sock, out, self.until())):
+            if not (yield from write(sock, out, self.write_by())):
                 return
             application.busy = False
 
-    def until(self) -> int:
+    def write_by(self) -> int:
         return self.clock() + self.WRITE_WITHIN
 
     def linger(self, sock: socket.socket) -> Generator[Wait, int, None]:
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -10,6 +10,7 @@
 import threading
 import time
 from collections.abc import Callable
+from contextlib import suppress
 from pathlib import Path
 from types import SimpleNamespace
 
@@ -222,6 +223,22 @@
         assert not desk.node.decisions.taken
 
 
+def test_a_request_that_drips_is_not_waited_for_without_end() -> None:
+    """Each byte began the time anew, and a descriptor was held for good."""
+    with Desk() as desk:
+        desk.node.applications.WHOLE_WITHIN = 60 * MS
+        client = desk.client()
+        client.sendall(request()[:20])
+        desk.turn(lambda: desk.node.applications.open)
+
+        def dripped() -> bool:
+            with suppress(OSError):
+                client.sendall(b"x")
+            return not desk.node.applications.open
+
+        desk.turn(dripped)
+
+
 def test_a_client_that_breaks_off_while_it_is_answered_harms_no_other() -> None:
     with Desk() as desk:
         client, other = desk.ask(), desk.ask()
