--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -513,6 +513,37 @@
         process.client()
 
 
+def test_a_planned_restart_loses_no_query_of_clients_that_go_on_asking(tmp_path: Path) -> None:
+    """Six clients ask on what they have while it stays open, else anew for 0.4 s after the signal."""
+    process, lost, answered = Process(tmp_path, delay=0.02), [], []
+    told = time.monotonic() + 0.3
+
+    def ask() -> None:
+        sock: socket.socket | None = None
+        while sock is not None or time.monotonic() < told + 0.4:
+            try:
+                sock = sock or process.client()
+                sock.sendall(request(expires="900m"))
+                got = sock.recv(65536)
+            except ConnectionError:
+                got = b""
+            if not got and time.monotonic() < told + 0.4:
+                lost.append(sock)  # on a new connection or on one that had just answered
+            answered.extend([got] if got else [])
+            sock = None if not got or b"Connection: close" in got else sock
+
+    clients = [threading.Thread(target=ask) for _ in range(6)]
+    for client in clients:
+        client.start()
+    time.sleep(max(0.0, told - time.monotonic()))
+    process.process.send_signal(signal.SIGTERM)
+    assert process.process.wait(5) == 0
+    for client in clients:
+        client.join(5)
+    assert not lost and len(answered) > 40
+    assert all(got.endswith((b"\r\n\r\nwell", b"\r\n\r\nbounced: a retry is harmless\n")) for got in answered)
+
+
 def test_log_lines_that_nobody_reads_hold_nothing_up() -> None:
     """A full pipe would block the one thread that serves."""
     code = (
