--- a/maddercart/http/application.py
+++ b/maddercart/http/application.py
@@ -84,9 +84,11 @@
     def check_length(request: h11.Request) -> None:
         """Before the body comes: what must be refused is refused unread."""
         lengths = [value for name, value in request.headers if name == b"content-length"]
+        chunked = any(name == b"transfer-encoding" for name, _ in request.headers)
+        if lengths and chunked:  # by one of them a further request may be hidden in its body
+            raise Unreadable(400, "Content-Length and Transfer-Encoding together")
         if lengths and int(lengths[0]) > MOST_BODY:
             raise Unreadable(413, "the body is over the limit")
-        chunked = any(name == b"transfer-encoding" for name, _ in request.headers)
         if request.method == b"POST" and not (lengths or chunked):
             raise Unreadable(411, "the length is missing")
 
--- a/maddercart/messages/query.py
+++ b/maddercart/messages/query.py
@@ -11,6 +11,7 @@
 UNITS = {"m": 1_000_000, "u": 1_000}  # of X-Expires-In, in nanoseconds
 EXPIRES = re.compile(rb"([0-9]{1,12}(?:\.[0-9]{1,6})?)([mu])")
 OURS = frozenset({b"x-expires-in"})  # written anew for each dispatch
+ONCE = frozenset({b"x-trace-id", b"x-qos", b"x-expires-in", b"idempotency-key"})  # which of two would count?
 
 
 class UnfitQuery(ValueError):
@@ -29,6 +30,7 @@
     body: bytes
     offering: int  # its place in the settings
     remaining: int  # nanoseconds that its client will wait
+    trace: bytes  # its id, the same all the way
 
     def headers_for(self, wait: int) -> Headers:
         """The headers of a dispatch that is waited for so many nanoseconds."""
@@ -36,6 +38,11 @@
         return [*self.headers, (b"X-Expires-In", b"%du" % max(1, wait // 1_000)), *lengths]
 
 
+def twice(headers: Sequence[tuple[bytes, bytes]]) -> bool:
+    names = [name for name, _ in headers if name.lower() in ONCE]
+    return len({name.lower() for name in names}) < len(names)
+
+
 def read_query(
     method: bytes, target: bytes, headers: Sequence[tuple[bytes, bytes]], body: bytes,
     offerings: Mapping[str, int],
@@ -51,7 +58,9 @@
         raise UnfitQuery(404, "the path names no offering")
     if by_header is not None and offerings.get(by_header.decode("ascii", "replace")) != offering:
         raise UnfitQuery(400, "X-Qos names no offering, or another one than the path")
-    if not named.get(b"x-trace-id"):
+    if len(named) < len(headers) and twice(headers):
+        raise UnfitQuery(400, "a header of ours is there twice")
+    if not (trace := named.get(b"x-trace-id", b"")):
         raise UnfitQuery(400, "X-Trace-Id is missing")
     expires = EXPIRES.fullmatch(named.get(b"x-expires-in", b"").strip())
     if expires is None:
@@ -59,4 +68,4 @@
     remaining = int(float(expires[1]) * UNITS[expires[2].decode()])
     if remaining <= 0:
         raise UnfitQuery(408, "its time is already up")
-    return Query(method, target, passed_on(headers, OURS), body, offering, remaining)
+    return Query(method, target, passed_on(headers, OURS), body, offering, remaining, trace)
--- a/maddercart/net/loop.py
+++ b/maddercart/net/loop.py
@@ -7,7 +7,7 @@
 import logging
 import select
 from collections.abc import Callable, Generator
-from heapq import heappop, heappush
+from heapq import heapify, heappop, heappush
 from typing import NamedTuple
 
 from maddercart.interface import MILLISECOND, SECOND
@@ -37,12 +37,13 @@
 class Task:
     """A coroutine under way."""
 
-    __slots__ = ("coroutine", "fd", "first", "step")
+    __slots__ = ("coroutine", "fd", "first", "step", "timer")
 
     def __init__(self, coroutine: Coroutine, first: bool) -> None:
         self.coroutine: Coroutine | None = coroutine
         self.first = first
         self.fd = -1  # on which it waits
+        self.timer: Timer | None = None  # of its wait
         self.step = 0  # counts its resumptions: what was meant for an earlier wait is not for this one
 
     @property
@@ -56,13 +57,12 @@
     __slots__ = ("call",)
 
     def __init__(self, call: Callable[[], None]) -> None:
-        self.call: Callable[[], None] | None = call
-
-    def call_off(self) -> None:
-        self.call = None
+        self.call: Callable[[], None] | None = call  # None: it was called, or called off
 
 
 class Loop:
+    OFF_LEAST = 256  # timers called off that are not worth a clearing
+
     def __init__(self, clock: Callable[[], int]) -> None:
         self.clock = clock
         self.epoll = select.epoll()
@@ -70,6 +70,7 @@
         self.known: set[int] = set()  # descriptors in the epoll set
         self.timers: list[tuple[int, int, Timer]] = []
         self.count = 0  # of timers: those of one time go in the order they were set
+        self.off = 0  # how many of them were called off and are still there
         self.ready: list[tuple[Task, int]] = []
         self.stopped = False
 
@@ -112,14 +113,12 @@
             self.waiting[wait.fd] = task
             task.fd = wait.fd
         if wait.until is not None:
-            step = task.step
-            self.at(wait.until, lambda: self.time_up(task, step))
-
-    def time_up(self, task: Task, step: int) -> None:
-        if task.step == step and not task.over:
-            self.resume(task, TIME_UP)
+            task.timer = self.at(wait.until, lambda: self.resume(task, TIME_UP))
 
     def unwait(self, task: Task) -> None:
+        if task.timer is not None:
+            self.call_off(task.timer)
+            task.timer = None
         if task.fd >= 0:
             if self.waiting.get(task.fd) is task:
                 del self.waiting[task.fd]
@@ -151,6 +150,18 @@
         heappush(self.timers, (when, self.count, timer))
         return timer
 
+    def call_off(self, timer: Timer) -> None:
+        """Guards against a heap that grows with traffic: each wait that ended early left its timer there,
+        with what hung on it, until the time had come. They go once they are the greater part."""
+        if timer.call is None:
+            return
+        timer.call = None
+        self.off += 1
+        if self.off > max(self.OFF_LEAST, len(self.timers) // 2):
+            self.timers = [entry for entry in self.timers if entry[2].call is not None]
+            heapify(self.timers)
+            self.off = 0
+
     # -- turns
 
     def run(self) -> None:
@@ -161,6 +172,7 @@
         wait = -1.0
         while self.timers and self.timers[0][2].call is None:
             heappop(self.timers)
+            self.off -= 1
         if self.ready:
             wait = 0.0
         elif self.timers:
@@ -177,8 +189,11 @@
             log.warning("stood still", extra={"ms": (now - self.timers[0][0]) // MILLISECOND})
         while self.timers and self.timers[0][0] <= now:
             timer = heappop(self.timers)[2]
-            if timer.call is not None:
+            call, timer.call = timer.call, None
+            if call is None:
+                self.off -= 1
+            else:
                 try:
-                    timer.call()
+                    call()
                 except Exception:
                     log.exception("timer failed")  # as with a coroutine: the rest goes on
--- a/maddercart/net/sockets.py
+++ b/maddercart/net/sockets.py
@@ -8,6 +8,7 @@
 from maddercart.net.loop import READ, TIME_UP, WRITE, Loop, Wait
 
 CHUNK = 65536  # read at once: what the largest body and its headers need, in two reads at most
+BACKLOG = 512  # connections that the machine takes before we do: some hundreds may come at once
 
 
 def address(text: str) -> tuple[str, int]:
@@ -17,7 +18,7 @@
     return host, int(port)
 
 
-def listen(at: tuple[str, int], backlog: int = 512) -> socket.socket:
+def listen(at: tuple[str, int], backlog: int = BACKLOG) -> socket.socket:
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     sock.bind(at)
--- a/maddercart/sidecar/applications.py
+++ b/maddercart/sidecar/applications.py
@@ -3,6 +3,7 @@
 import logging
 import socket
 from collections.abc import Callable, Generator, Mapping
+from enum import Enum, auto
 
 from maddercart.http.application import ApplicationSide, Request, Unreadable
 from maddercart.interface import MILLISECOND, SECOND
@@ -17,31 +18,52 @@
 READY_PATH = b"/-/ready"
 
 
+class Phase(Enum):
+    NEW = auto()  # nothing has come yet
+    PART = auto()  # a request has begun
+    BUSY = auto()  # from a whole request to the last byte of its answer
+    IDLE = auto()  # between requests
+    REFUSED = auto()  # its last answer is out, and what still comes is only read away
+
+
+# How long a connection may stay in a phase. Clients are on this machine or close by, so that a request takes
+# milliseconds to come, and one that is slow on purpose is told after two seconds. An idle one is kept as long
+# as is usual among servers.
+LONGEST = {Phase.NEW: 2 * SECOND, Phase.PART: 2 * SECOND, Phase.IDLE: 60 * SECOND, Phase.REFUSED: SECOND // 2}
+
+# Once places have run out, how long a connection keeps its own, by what it would lose, least first: a client
+# that says nothing, or was refused, loses nothing; one that keeps its connection may have to open another.
+KEEPS = {
+    Phase.REFUSED: SECOND // 10, Phase.NEW: SECOND // 10, Phase.IDLE: 2 * SECOND, Phase.PART: SECOND // 2,
+}  # fmt: skip
+
+
 class Application:
     """One connection of it."""
 
-    __slots__ = ("busy", "number", "reply", "side", "sock", "task", "waits")
+    __slots__ = ("number", "phase", "reply", "side", "sock", "task", "until", "waits")
 
     def __init__(self, sock: socket.socket) -> None:
         self.sock, self.side = sock, ApplicationSide()
+        self.phase, self.until = Phase.BUSY, 0  # in which until when
         self.task: Task | None = None
         self.number = 0  # of the query it waits for
         self.reply: Reply | None = None
         self.waits = False  # for a reply, so that one must wake it
-        self.busy = False  # from a whole request to the last byte of its answer
 
-    @property
-    def between(self) -> bool:
-        """Nothing has come of a further request, as far as was read."""
-        return not (self.busy or self.side.begun)
+    def silent(self) -> bool:
+        """Nothing has come that was not read yet."""
+        try:
+            return not self.sock.recv(1, socket.MSG_PEEK)
+        except OSError:  # nothing has come, or nothing can come any more
+            return True
 
 
 class Applications:
-    WHOLE_WITHIN = 10 * SECOND  # a request that has begun: a client that stalls holds a descriptor
-    WRITE_WITHIN = 10 * SECOND  # an answer: a reader that stalls does too
+    WRITE_WITHIN = 10 * SECOND  # an answer: a reader that stalls holds a descriptor
     AHEAD = 65536  # bytes read that came before their turn
-    LINGER = SECOND // 2  # a refused connection is read on for so long, or its end would undo the answer
-    PAUSE = 20 * MILLISECOND  # before the next try where descriptors have run out
+    PAUSE = 20 * MILLISECOND  # before the next try where places or descriptors have run out
+    AT_ONCE = 32  # connections taken in a turn: hundreds that come together must not hold up those in hand
 
     def __init__(
         self, loop: Loop, clock: Callable[[], int], decisions: Decisions, offerings: Mapping[str, int],
@@ -50,6 +72,9 @@
         self.loop, self.clock, self.decisions = loop, clock, decisions
         self.offerings, self.ready, self.most = offerings, ready, most
         self.open: set[Application] = set()
+        self.traces: set[bytes] = set()  # the ids of the queries that are held
+        # Those in each phase, and since when, the longest first.
+        self.phases: dict[Phase, dict[Application, int]] = {phase: {} for phase in Phase}
         self.stopping = False
         self.acceptor: Task | None = None
 
@@ -57,20 +82,46 @@
 
     def accept_from(self, listener: socket.socket) -> Coroutine:
         while True:
-            full = len(self.open) >= self.most
-            yield Wait() if full else Wait(listener.fileno(), READ)
+            yield Wait(listener.fileno(), READ)
             try:
-                self.accept_all(listener)
+                if len(self.open) < self.most or self.make_room():
+                    self.accept_some(listener)
+                    continue
             except OSError as error:
                 log.warning("connections can't be accepted", extra={"reason": str(error)})
-                yield Wait(until=self.clock() + self.PAUSE)
+            yield Wait(until=self.clock() + self.PAUSE)
 
-    def accept_all(self, listener: socket.socket) -> None:
-        while len(self.open) < self.most and (sock := accept(listener)) is not None:
+    def accept_some(self, listener: socket.socket, at_once: int = AT_ONCE) -> None:
+        for _ in range(at_once):
+            if len(self.open) >= self.most or (sock := accept(listener)) is None:
+                return
             application = Application(sock)
             self.open.add(application)
+            self.enter(application, Phase.NEW)
             application.task = self.loop.spawn(self.serve(application))
 
+    def make_room(self) -> bool:
+        """Guards against connections on which nothing is asked keeping those away that would ask: all places
+        were held by clients that had asked once. The one that has lasted longest in its phase goes."""
+        now = self.clock()
+        for phase, keeps in KEEPS.items():
+            for application, since in self.phases[phase].items():
+                if now - since < keeps:
+                    break
+                if application.task is not None and (phase == Phase.REFUSED or application.silent()):
+                    self.decisions.counts["crowded_out"] += 1
+                    self.loop.end(application.task)
+                    return True
+        return False
+
+    def enter(self, application: Application, phase: Phase) -> None:
+        now = self.clock()
+        self.phases[application.phase].pop(application, None)
+        self.phases[phase][application] = now
+        if (application.phase, phase) != (Phase.NEW, Phase.PART):  # to begin late gives no more time
+            application.until = now + LONGEST.get(phase, 0)
+        application.phase = phase
+
     # -- serving
 
     def serve(self, application: Application) -> Coroutine:
@@ -82,46 +133,50 @@
             if application.number:
                 self.decisions.left(application.number)
             self.open.discard(application)
+            self.phases[application.phase].pop(application, None)
             close(self.loop, application.sock)
-            if self.acceptor is not None and len(self.open) == self.most - 1:
-                self.loop.wake(self.acceptor)
 
     def converse(self, application: Application) -> Generator[Wait, int, None]:
         side, sock = application.side, application.sock
-        whole_by: int | None = None  # once a request has begun
         while not side.closing:
             try:
                 request = side.next_request()
+                if request is None:
+                    if side.closing or not (yield from write(sock, side.go_on(), self.write_by())):
+                        return
+                    if side.begun and application.phase != Phase.PART:
+                        self.enter(application, Phase.PART)
+                    data = yield from read(sock, application.until)
+                    if data is None and not side.begun:
+                        return
+                    if data is None:
+                        raise Unreadable(408, "the request did not come in time")
+                    side.feed(data)
+                    continue
             except Unreadable as error:
+                self.decisions.counts["unfit"] += 1
                 refusal = unfit(error.status, str(error))
                 out = side.answer(refusal.status, refusal.headers(), refusal.body, close=True)
-                yield from write(sock, out, self.write_by())
-                return (yield from self.linger(sock))
-            if request is None:
-                if side.closing or not (yield from write(sock, side.go_on(), self.write_by())):
+                self.enter(application, Phase.REFUSED)
+                if not (yield from write(sock, out, application.until)):
                     return
-                whole_by = (whole_by or self.clock() + self.WHOLE_WITHIN) if side.begun else None
-                data = yield from read(sock, whole_by)
-                if data is None:
-                    return
-                side.feed(data)
-                continue
-            application.busy, whole_by = True, None
+                return (yield from self.linger(application))
+            self.enter(application, Phase.BUSY)
             reply = yield from self.answer(application, request)
             if reply is None:
                 return
             out = side.answer(reply.status, reply.headers(), reply.body, self.stopping)
             if not (yield from write(sock, out, self.write_by())):
                 return
-            application.busy = False
+            self.enter(application, Phase.IDLE)
 
     def write_by(self) -> int:
         return self.clock() + self.WRITE_WITHIN
 
-    def linger(self, sock: socket.socket) -> Generator[Wait, int, None]:
-        sock.shutdown(socket.SHUT_WR)
-        until = self.clock() + self.LINGER
-        while (yield from read(sock, until)):
+    def linger(self, application: Application) -> Generator[Wait, int, None]:
+        """What still comes is read for a while, or the connection's end would undo the answer."""
+        application.sock.shutdown(socket.SHUT_WR)
+        while (yield from read(application.sock, application.until)):
             pass
 
     def answer(self, application: Application, request: Request) -> Generator[Wait, int, Reply | None]:
@@ -134,6 +189,9 @@
         except UnfitQuery as error:
             self.decisions.counts["unfit"] += 1
             return unfit(error.status, str(error))
+        if query.trace in self.traces:  # an answer to either would be taken for the other's
+            self.decisions.counts["unfit"] += 1
+            return unfit(409, "X-Trace-Id is that of a query that is held")
         application.reply = None
 
         def answered(reply: Reply) -> None:
@@ -141,13 +199,17 @@
             if application.waits and application.task is not None:
                 self.loop.wake(application.task)
 
-        number = self.decisions.take(query, answered)
-        if application.reply is None:
-            application.number, application.waits = number, True
-            gone = yield from self.wait(application)
-            application.waits = False
-            if gone:
-                return None
+        self.traces.add(query.trace)
+        try:
+            number = self.decisions.take(query, answered)
+            if application.reply is None:
+                application.number, application.waits = number, True
+                gone = yield from self.wait(application)
+                application.waits = False
+                if gone:
+                    return None
+        finally:
+            self.traces.discard(query.trace)
         return application.reply
 
     def wait(self, application: Application) -> Generator[Wait, int, bool]:
@@ -167,11 +229,6 @@
 
     def close_idle(self) -> None:
         """Those between requests on which nothing has come."""
-        for application in list(self.open):
-            if application.between and application.task is not None:
-                try:
-                    idle = not application.sock.recv(1, socket.MSG_PEEK)
-                except OSError:  # nothing has come, or nothing can come any more
-                    idle = True
-                if idle:
-                    self.loop.end(application.task)
+        for application in [*self.phases[Phase.IDLE], *self.phases[Phase.NEW]]:
+            if application.task is not None and application.silent():
+                self.loop.end(application.task)
--- a/maddercart/sidecar/stopping.py
+++ b/maddercart/sidecar/stopping.py
@@ -7,6 +7,7 @@
 
 from maddercart.interface import MILLISECOND, SECOND
 from maddercart.net.loop import READ, Coroutine, Loop, Wait
+from maddercart.net.sockets import BACKLOG
 from maddercart.sidecar.applications import Applications
 
 log = logging.getLogger(__name__)
@@ -49,7 +50,7 @@
     if applications.acceptor is not None:
         loop.end(applications.acceptor)
     try:
-        applications.accept_all(listener)  # what the machine has accepted may hold queries already
+        applications.accept_some(listener, BACKLOG)  # what the machine has accepted may hold queries already
     except OSError as error:
         log.warning("connections can't be accepted", extra={"reason": str(error)})
     loop.forget(listener.fileno())
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -6,6 +6,7 @@
 import socket
 import time
 from collections.abc import Callable
+from itertools import count
 from random import Random
 from typing import Any
 
@@ -15,6 +16,7 @@
 from maddercart.sidecar.node import Node
 
 MS = i.MILLISECOND
+TRACES = count(1000)  # each request has an id of its own
 
 
 def offering(effect: int = i.REDOABLE, group: int = i.EVERYWHERE, **more: Any) -> i.Offering:
@@ -121,8 +123,9 @@
 
 
 def request(
-    offering: str = "look", expires: str = "400m", body: str = "", more: str = "", trace: str = "t1"
+    offering: str = "look", expires: str = "400m", body: str = "", more: str = "", trace: str = ""
 ) -> bytes:
+    trace = trace or f"t{next(TRACES)}"
     lines = f"X-Trace-Id: {trace}\r\nX-Qos: {offering}\r\nX-Expires-In: {expires}\r\n{more}"
     if offering == "look":
         return f"GET /look?sid=7 HTTP/1.1\r\nHost: origin.svc\r\n{lines}\r\n".encode()
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -15,6 +15,7 @@
 from tests.helpers import answer, host, request
 
 OFFERINGS = {"look": 0, "post": 1}
+LONG, CHUNKED = b"Content-Length: 5", b"Transfer-Encoding: chunked"
 
 
 def in_parts(data: bytes, size: int) -> list[bytes]:
@@ -56,6 +57,12 @@
         (b"POST /post HTTP/1.1\r\nHost: a\r\n\r\n", 411),
         (b"POST /post HTTP/1.1\r\nHost: a\r\nContent-Length: 65537\r\n\r\n", 413),
         (b"POST /p HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n10001\r\n" + b"x" * 65_537, 413),
+        (b"POST /post HTTP/1.1\r\nHost: a\r\nContent-Length: " + b"9" * 20 + b"\r\n\r\n", 413),
+        (b"POST /post HTTP/1.1\r\nHost: a\r\nContent-Length: " + b"9" * 5000 + b"\r\n\r\n", 400),
+        (b"POST /post HTTP/1.1\r\nHost: a\r\nContent-Length: -3\r\n\r\n", 400),
+        # A request may be hidden in the body: it was passed on as one of its own.
+        (b"POST /p HTTP/1.1\r\nHost: a\r\n" + LONG + b"\r\n" + CHUNKED + b"\r\n\r\n0\r\n\r\n", 400),
+        (b"POST /p HTTP/1.1\r\nHost: a\r\n" + CHUNKED + b"\r\n" + LONG + b"\r\n\r\n0\r\n\r\n", 400),
         (b"GET /look HTTP/1.1\r\nHost: a\r\nX-Long: " + b"x" * 20_000, 431),
     ],
 )
@@ -109,7 +116,7 @@
     assert read(request(expires="480m")) == (0, 480 * i.MILLISECOND)
     assert read(request("post", expires="1500u")) == (1, 1500 * 1000)
     side = ApplicationSide()
-    side.feed(request("post", body="abc", more="X-Props: a=1\r\nConnection: keep-alive\r\n"))
+    side.feed(request("post", body="abc", more="X-Props: a=1\r\nConnection: keep-alive\r\n", trace="t1"))
     one = side.next_request()
     assert one is not None
     query = read_query(*one, OFFERINGS)
@@ -127,7 +134,9 @@
         (request().replace(b"GET /look?sid=7", b"GET *"), 404),
         (request().replace(b"Qos: look", b"Qos: post"), 400),
         (request().replace(b"Qos: look", b"Qos: \xff"), 400),
-        (request().replace(b"X-Trace-Id: t1\r\n", b""), 400),
+        (request(trace="t1").replace(b"X-Trace-Id: t1\r\n", b""), 400),
+        (request(more="X-Trace-Id: t2\r\n"), 400),
+        (request(more="x-expires-in: 900m\r\n"), 400),
         (request().replace(b"X-Expires-In: 400m\r\n", b""), 400),
         *((request(expires=bad), 400) for bad in ("soon", "400", "4e2m", "-5m", "9" * 20 + "m")),
         (request(expires="0m"), 408),
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -18,11 +18,14 @@
 
 from maddercart import interface as i
 from maddercart.net.loop import Coroutine, Loop, Wait
+from maddercart.sidecar.applications import KEEPS, LONGEST, Phase
 from maddercart.sidecar.clock import Clock, from_unix_ms
 from maddercart.sidecar.endings import OUTCOMES, Ending, of_status
 from maddercart.sidecar.upstreams import number_of
 from tests.helpers import MS, Desk, answer, config, host, request
 
+READY = b"GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n"
+
 
 def break_off(sock: socket.socket) -> None:
     """Ends a connection with a reset."""
@@ -71,7 +74,7 @@
 def test_what_an_upstream_does_after_it_has_a_query(how: str) -> None:
     """A labelled query with one upstream: where it may have run, the client must not be told to retry."""
     with Desk() as desk:
-        client = desk.ask("post", body="abc")
+        client = desk.ask("post", body="abc", trace="t1")
         upstream = desk.accept()
         got = desk.read(upstream, b"abc")
         assert got.startswith(b"POST /post?sid=7 HTTP/1.1\r\n") and b"X-Trace-Id: t1\r\n" in got
@@ -223,10 +226,10 @@
         assert not desk.node.decisions.taken
 
 
-def test_a_request_that_drips_is_not_waited_for_without_end() -> None:
+def test_a_request_that_drips_is_not_waited_for_without_end(monkeypatch: pytest.MonkeyPatch) -> None:
     """Each byte began the time anew, and a descriptor was held for good."""
+    monkeypatch.setitem(LONGEST, Phase.NEW, 60 * MS)
     with Desk() as desk:
-        desk.node.applications.WHOLE_WITHIN = 60 * MS
         client = desk.client()
         client.sendall(request()[:20])
         desk.turn(lambda: desk.node.applications.open)
@@ -286,18 +289,66 @@
         assert desk.reply(client) == 200
 
 
-def test_connections_beyond_the_limit_wait_and_are_taken_when_one_ends() -> None:
+def test_a_client_that_says_nothing_or_half_is_sent_away(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Silent connections had no limit at all and held places for good."""
+    monkeypatch.setitem(LONGEST, Phase.NEW, 60 * MS)
+    monkeypatch.setitem(LONGEST, Phase.PART, 60 * MS)
+    with Desk() as desk:
+        silent, half = desk.client(), desk.client()
+        half.sendall(request()[:20])
+        assert desk.read(silent) == b"" and desk.reply(half) == 408 and desk.read(half) == b""
+        client = desk.ask()
+        desk.read(upstream := desk.accept())
+        upstream.sendall(answer())
+        assert desk.reply(client) == 200
+        client.sendall(request()[:20])
+        assert desk.reply(client) == 408 and not desk.node.decisions.counts["aborted"]
+
+
+@pytest.mark.parametrize("phase", KEEPS)
+def test_places_that_ran_out_go_to_those_who_ask(phase: Phase, monkeypatch: pytest.MonkeyPatch) -> None:
+    """On a day of clients that ask once and keep their connection all places were held by them."""
+    monkeypatch.setitem(KEEPS, phase, 100 * MS)
+    first = {Phase.NEW: b"", Phase.PART: request()[:20], Phase.IDLE: READY, Phase.REFUSED: b"\x00\r\n\r\n"}
     with Desk() as desk:
         desk.node.applications.most = 2
-        first = desk.client()
-        desk.client()
-        desk.turn(lambda: len(desk.node.applications.open) == 2)
+        held = [desk.client(), desk.client()]
+        for client in held:
+            client.sendall(first[phase])
+        desk.turn(lambda: len(desk.node.applications.phases[phase]) == 2)
         third = desk.client()
-        third.sendall(b"GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n")
-        desk.turn_for(0.05)
-        assert len(desk.node.applications.open) == 2
-        first.close()
-        assert desk.reply(third) == 200
+        third.sendall(READY)
+        began = time.monotonic()
+        assert desk.reply(third) == 200 and 0.05 < time.monotonic() - began < 0.4
+        assert len(desk.node.applications.open) == 2 and desk.node.decisions.counts["crowded_out"] == 1
+
+
+def test_who_waits_for_an_answer_keeps_its_place() -> None:
+    with Desk() as desk:
+        desk.node.applications.most = 1
+        client = desk.ask()
+        upstream = desk.accept()
+        other = desk.client()
+        other.sendall(READY)
+        desk.turn_for(0.2)
+        desk.read(upstream)
+        upstream.sendall(answer())
+        assert desk.reply(client) == 200
+        client.close()
+        assert desk.reply(other) == 200
+
+
+def test_the_id_of_a_held_query_is_no_other_querys() -> None:
+    with Desk() as desk:
+        client = desk.ask("post", trace="t7")
+        desk.read(upstream := desk.accept())
+        assert desk.reply(desk.ask(trace="t7")) == 409
+        upstream.sendall(answer())
+        assert desk.reply(client) == 200 and desk.node.decisions.taken == 1
+        client.sendall(request(trace="t7"))
+        desk.read(upstream)
+        upstream.sendall(answer())
+        assert desk.reply(client) == 200, "once it has its answer the id is free"
 
 
 def test_a_come_back_time_is_said_with_a_bounce() -> None:
@@ -437,6 +488,23 @@
     loop.epoll.close()
 
 
+def test_timers_of_waits_that_ended_early_do_not_pile_up() -> None:
+    """One was kept for each query for as long as an idle connection may last."""
+    loop = Loop(Clock())
+
+    def waiter() -> Coroutine:
+        yield Wait(until=loop.clock() + 60 * i.SECOND)
+
+    tasks = [loop.spawn(waiter()) for _ in range(3000)]
+    for task in tasks[:-1]:
+        loop.end(task)
+    assert len(loop.timers) < 2 * loop.OFF_LEAST
+    loop.at(loop.clock(), lambda: loop.end(tasks[-1]))
+    loop.turn()
+    assert all(timer.call is None for _, _, timer in loop.timers) and len(loop.timers) == loop.off
+    loop.epoll.close()
+
+
 def test_a_loop_that_was_held_up_says_so(caplog: pytest.LogCaptureFixture) -> None:
     """Without the line, answers that seem slow would be blamed on upstreams."""
     loop = Loop(lambda: 100 * MS)
