--- a/maddercart/cli.py
+++ b/maddercart/cli.py
@@ -7,10 +7,9 @@
 import typer
 
 from maddercart import __version__
-from maddercart.messages.config import Config, read_config
-from maddercart.net.sockets import address
 from maddercart.sidecar import logs
-from maddercart.sidecar.node import Node, arguments
+from maddercart.sidecar.configuration import usable_file
+from maddercart.sidecar.node import Node
 
 app = typer.Typer(
     add_completion=False, no_args_is_help=True, pretty_exceptions_enable=False,
@@ -24,30 +23,18 @@
 UNFIT = 2  # the exit code for a configuration that is missing or can't be used
 
 
-def usable(path: Path | None) -> Config:
-    """The configuration. Raises `OSError`, or `ValueError` for what can't be used."""
-    if path is None:
-        raise ValueError("none is named: RELAY_CONFIG is not set")
-    config = read_config(path.read_bytes())
-    arguments(config)
-    int(config.seed, 16)
-    for text in (config.listen, config.discovery):
-        address(text)
-    return config
-
-
 @app.command()
 def serve(config: ConfigFile = None, level: Level = "INFO") -> None:
-    """Serves the application until SIGTERM."""
+    """Serves the application until SIGTERM; SIGHUP has the configuration read again."""
     lines, code = logs.start(level), 0
     try:
-        read = usable(config)
+        read = usable_file(config)
     except (OSError, ValueError) as error:
         log.error("configuration can't be used", extra={"file": str(config), "reason": str(error)})
         code = UNFIT
     else:
         try:
-            Node(read).run()
+            Node(read, lambda: usable_file(config)).run()
         except Exception:
             log.exception("sidecar failed")
             code = 1
@@ -59,7 +46,7 @@
 def check(config: ConfigFile = None) -> None:
     """Reads a configuration and says whether it can be used."""
     try:
-        read = usable(config)
+        read = usable_file(config)
     except (OSError, ValueError) as error:
         typer.echo(f"{config}: {error}", err=True)
         raise typer.Exit(UNFIT) from error
--- a/maddercart/sidecar/applications.py
+++ b/maddercart/sidecar/applications.py
@@ -67,10 +67,10 @@
 
     def __init__(
         self, loop: Loop, clock: Callable[[], int], decisions: Decisions, offerings: Mapping[str, int],
-        ready: Callable[[], bool], most: int,
+        ready: Callable[[], bool],
     ) -> None:  # fmt: skip
         self.loop, self.clock, self.decisions = loop, clock, decisions
-        self.offerings, self.ready, self.most = offerings, ready, most
+        self.offerings, self.ready, self.most = offerings, ready, 1
         self.open: set[Application] = set()
         self.traces: set[bytes] = set()  # the ids of the queries that are held
         # Those in each phase, and since when, the longest first.
--- a/maddercart/sidecar/discovery.py
+++ b/maddercart/sidecar/discovery.py
@@ -9,7 +9,7 @@
 from maddercart.http.watch import WatchFailed, WatchSide
 from maddercart.interface import SECOND
 from maddercart.messages.upstreams import Listing, read_listing
-from maddercart.net.loop import Coroutine, Loop, Wait
+from maddercart.net.loop import Coroutine, Loop, Task, Wait
 from maddercart.net.sockets import close, connect, read, write
 from maddercart.sidecar.upstreams import Upstreams
 
@@ -27,6 +27,7 @@
         self.loop, self.clock, self.at, self.upstreams = loop, clock, at, upstreams
         self.learn, self.failed = learn, failed
         self.following = False
+        self.task: Task | None = None
 
     def follow(self) -> None:
         """Among its fellows in a turn it comes first: a drain counts as soon as it is told."""
@@ -35,7 +36,19 @@
             self.loop.at(self.clock(), self.begin)
 
     def begin(self) -> None:
-        self.loop.spawn(self.watch(), first=True)
+        self.task = self.loop.spawn(self.watch(), first=True)
+
+    def move(self, at: tuple[str, int]) -> None:
+        """Follows another service from now on. Its versions are its own, so it is asked for the whole list;
+        the one that is known stays in use until that has come."""
+        if at == self.at:
+            return
+        log.info("discovery moves", extra={"to": f"{at[0]}:{at[1]}", "seq": self.upstreams.version})
+        self.at, self.upstreams.version = at, None
+        if self.task is not None:
+            self.loop.end(self.task)
+            self.task, self.following = None, False
+        self.follow()
 
     def watch(self) -> Coroutine:
         """However it ends, the module is told, or nobody would ever ask again."""
@@ -50,7 +63,7 @@
             log.warning("watch of the list ended", extra={"reason": str(error), "seq": seq})
         except Exception:
             log.exception("watch failed")
-        self.following = False
+        self.task, self.following = None, False
         self.failed()
 
     def converse(self, sock: socket.socket) -> Generator[Wait, int, None]:
--- a/maddercart/sidecar/dispatches.py
+++ b/maddercart/sidecar/dispatches.py
@@ -14,8 +14,9 @@
 
 
 class Dispatcher:
-    def __init__(self, pool: Pool, clock: Callable[[], int], connect_timeout: int) -> None:
-        self.pool, self.clock, self.connect_timeout = pool, clock, connect_timeout
+    def __init__(self, pool: Pool, clock: Callable[[], int]) -> None:
+        self.pool, self.clock = pool, clock
+        self.connect_timeout = 0
 
     def send(
         self, query: Query, upstream: int, dial: Address | None, until: int
--- a/maddercart/sidecar/node.py
+++ b/maddercart/sidecar/node.py
@@ -2,9 +2,10 @@
 
 import gc
 import logging
+from collections.abc import Callable
 from resource import RLIMIT_NOFILE, getrlimit
 
-from maddercart.interface import SECOND, Permits
+from maddercart.interface import SECOND
 from maddercart.logic import Balancer
 from maddercart.messages.config import Config
 from maddercart.messages.upstreams import Listing
@@ -12,13 +13,15 @@
 from maddercart.net.sockets import address, listen
 from maddercart.sidecar.applications import Applications
 from maddercart.sidecar.clock import Clock
+from maddercart.sidecar.configuration import arguments
 from maddercart.sidecar.decisions import Decisions
 from maddercart.sidecar.discovery import Discovery
 from maddercart.sidecar.dispatches import Dispatcher
 from maddercart.sidecar.pool import Pool
-from maddercart.sidecar.stopping import await_signal, stop
+from maddercart.sidecar.signals import await_signals
+from maddercart.sidecar.stopping import stop
 from maddercart.sidecar.upstreams import Upstreams
-from maddercart.translation import balancer_arguments, nanos
+from maddercart.translation import nanos
 
 log = logging.getLogger(__name__)
 
@@ -26,38 +29,50 @@
 COUNTS_EVERY = 10 * SECOND
 
 
-def arguments(config: Config) -> dict[str, object]:
-    """Raises `SettingsError`. On sockets the list comes only when asked for, and there is no probe."""
-    made = balancer_arguments(config.settings)
-    permits: Permits = made["permits"]
-    return made | {"permits": permits._replace(follow=True, probes=False)}
-
-
 class Node:
-    def __init__(self, config: Config) -> None:
+    def __init__(self, config: Config, again: Callable[[], Config]) -> None:
+        """`again` reads the configuration anew; raises `OSError` or `ValueError` if it can't be used."""
         settings, clock = config.settings, Clock()
-        self.settings = settings
+        self.config, self.again = config, again
         self.loop, self.clock = Loop(clock), clock
         self.upstreams = Upstreams(settings.zones, settings.kinds)
-        limits = settings.limits
-        free = max(2, min(config.limits.sockets, getrlimit(RLIMIT_NOFILE)[0]) - RESERVE)
-        idle_close = nanos("limits.idle_close", limits.idle_close)
-        self.pool = Pool(self.loop, clock, idle_close, free - free // 2, self.upstreams.ready)
-        dispatcher = Dispatcher(self.pool, clock, nanos("limits.connect_timeout", limits.connect_timeout))
+        self.pool = Pool(self.loop, clock, self.upstreams.ready)
+        self.dispatcher = Dispatcher(self.pool, clock)
         balancer = Balancer(clock(), int(config.seed, 16), **arguments(config))  # type: ignore[arg-type]
         self.discovery = Discovery(
             self.loop, clock, address(config.discovery), self.upstreams, self.learn, self.list_failed
         )
         self.decisions = Decisions(
-            self.loop, clock, balancer, self.upstreams, dispatcher, self.discovery.follow
+            self.loop, clock, balancer, self.upstreams, self.dispatcher, self.discovery.follow
         )
         offerings = {terms.name: place for place, terms in enumerate(settings.offerings)}
         self.applications = Applications(
-            self.loop, clock, self.decisions, offerings, lambda: bool(self.upstreams.ready), free // 2
+            self.loop, clock, self.decisions, offerings, lambda: bool(self.upstreams.ready)
         )
+        self.limit(config)
         self.longest = max((nanos("hard_stop", terms.hard_stop) for terms in settings.offerings), default=0)
         self.listener = listen(address(config.listen))
-        self.known = config.known
+
+    def limit(self, config: Config) -> None:
+        """What may change under load."""
+        limits = config.settings.limits
+        free = max(2, min(config.limits.sockets, getrlimit(RLIMIT_NOFILE)[0]) - RESERVE)
+        self.pool.most, self.applications.most = free - free // 2, free // 2
+        self.pool.close_after(nanos("limits.idle_close", limits.idle_close))
+        self.dispatcher.connect_timeout = nanos("limits.connect_timeout", limits.connect_timeout)
+
+    def renew(self) -> None:
+        """SIGHUP: a new configuration is followed as far as that goes while queries are held."""
+        try:
+            config = self.again()
+        except (OSError, ValueError) as error:
+            log.error("new configuration can't be used", extra={"reason": str(error)})
+            return
+        fixed = ("name", "listen", "settings")
+        wants = [name for name in fixed if getattr(config, name) != getattr(self.config, name)]
+        log.info("configuration read again", extra={"wants_a_restart": ",".join(wants)} if wants else {})
+        self.limit(config)
+        self.discovery.move(address(config.discovery))
 
     def learn(self, listing: Listing) -> None:
         self.decisions.learn(self.upstreams.learn(listing), listing.whole)
@@ -68,12 +83,11 @@
 
     def run(self) -> None:
         """Serves until it is told to stop."""
-        begin = await_signal(self.loop)
-        begin(stop(self.loop, self.clock, self.listener, self.applications, self.longest, self.leave))
         self.start()
+        await_signals(self.loop, self.stop, self.renew)
         gc.collect()
         gc.freeze()  # what is there from the start need not be looked through again
-        if self.settings.limits.probing:
+        if self.config.settings.limits.probing:
             log.warning("the settings allow probes, and this protocol has none")
         at = "{}:{}".format(*self.listener.getsockname())
         log.info("serving", extra={"listen": at, "upstreams": len(self.upstreams.ready)})
@@ -82,10 +96,14 @@
 
     def start(self) -> None:
         """The list last known comes before any query."""
-        self.learn(self.known)
+        self.learn(self.config.known)
         self.applications.acceptor = self.loop.spawn(self.applications.accept_from(self.listener))
         self.loop.spawn(self.tell())
 
+    def stop(self) -> None:
+        stopping = stop(self.loop, self.clock, self.listener, self.applications, self.longest, self.leave)
+        self.loop.spawn(stopping)
+
     def leave(self) -> None:
         self.loop.stopped = True
 
--- a/maddercart/sidecar/pool.py
+++ b/maddercart/sidecar/pool.py
@@ -37,14 +37,17 @@
     KEPT = 0.7
 
     def __init__(
-        self, loop: Loop, clock: Callable[[], int], idle_close: int, most: int, wanted: Container[int]
+        self, loop: Loop, clock: Callable[[], int], wanted: Container[int]
     ) -> None:
-        self.loop, self.clock, self.most = loop, clock, most
+        self.loop, self.clock = loop, clock
+        self.most, self.kept_for = 1, 0
         self.wanted = wanted  # upstreams that may get something new
-        self.kept_for = int(idle_close * self.KEPT)
         self.idle: defaultdict[int, list[Connection]] = defaultdict(list)  # the last used one last
         self.count = 0
 
+    def close_after(self, idle_close: int) -> None:
+        self.kept_for = int(idle_close * self.KEPT)
+
     def take(self, upstream: int, dial: Address) -> Connection | None:
         """An idle one that is sound, the last used first: the others grow old and go."""
         while spare := self.idle[upstream]:
--- a/maddercart/sidecar/stopping.py
+++ b/maddercart/sidecar/stopping.py
@@ -1,12 +1,11 @@
 """SIGTERM: what was taken is answered, connections come to their end, and the sidecar leaves."""
 
 import logging
-import signal
 import socket
 from collections.abc import Callable
 
 from maddercart.interface import MILLISECOND, SECOND
-from maddercart.net.loop import READ, Coroutine, Loop, Wait
+from maddercart.net.loop import Coroutine, Loop, Wait
 from maddercart.net.sockets import BACKLOG
 from maddercart.sidecar.applications import Applications
 
@@ -19,26 +18,6 @@
 SPARE = SECOND // 10  # over the longest hard stop, for what is still being written
 
 
-def await_signal(loop: Loop) -> Callable[[Coroutine], None]:
-    """Has a coroutine spawned at the first SIGTERM or SIGINT. Later ones change nothing."""
-    inner, outer = socket.socketpair()
-    inner.setblocking(False)
-    outer.setblocking(False)
-    signal.set_wakeup_fd(outer.fileno(), warn_on_full_buffer=False)
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: None)
-
-    def begin(coroutine: Coroutine) -> None:
-        def waiting() -> Coroutine:
-            yield Wait(inner.fileno(), READ)
-            yield from coroutine
-            outer.close()
-
-        loop.spawn(waiting())
-
-    return begin
-
-
 def stop(
     loop: Loop, clock: Callable[[], int], listener: socket.socket, applications: Applications,
     longest: int, leave: Callable[[], None],
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -12,7 +12,7 @@
 
 from maddercart import interface as i
 from maddercart.logic import Balancer
-from maddercart.messages.config import read_config
+from maddercart.sidecar.configuration import usable
 from maddercart.sidecar.node import Node
 
 MS = i.MILLISECOND
@@ -147,7 +147,8 @@
         at = "{}:{}".format(*self.discovery.getsockname())
         zones = "ab" if upstreams > 2 else "aa"
         hosts = [host(f"s-{n}", dial, site=zones[n % 2]) for n, dial in enumerate(self.dials)]
-        self.node = Node(read_config(config(**({"hosts": hosts, "discovery": at} | more))))
+        self.config = {"hosts": hosts, "discovery": at} | more
+        self.node = Node(usable(config(**self.config)), lambda: usable(config(**self.config)))
         self.node.start()
         self.opened: list[socket.socket] = [*self.ears, self.discovery]
 
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import select
 import signal
 import socket
 import struct
@@ -456,6 +457,45 @@
         assert not faults
 
 
+def test_a_new_configuration_moves_to_another_discovery_and_loses_nothing() -> None:
+    """The old service ends its watches soon after; the list stays in use until the new one has told one."""
+    with Desk() as desk:
+        old, client = watched(desk), desk.ask()
+        desk.read(upstream := desk.accept())
+        other = socket.create_server(("127.0.0.1", 0))
+        desk.opened.append(other)
+        desk.config |= {"discovery": "{}:{}".format(*other.getsockname()), "limits": {"sockets": 80}}
+        desk.node.renew()
+        assert desk.read(old) == b"", "the old watch is given up"
+        new = desk.accept_from(other)
+        assert desk.read(new).startswith(b"GET /api/targets HTTP/1.1\r\n")
+        assert desk.node.upstreams.ready == {number_of("s-0")} and desk.node.pool.most == 24
+        upstream.sendall(answer())
+        assert desk.reply(client) == 200
+        whole = {"seq": 1, "whole": True, "hosts": [host("s-0", desk.dials[0]), host("s-9")]}
+        new.sendall(answer(body=json.dumps(whole)))
+        assert b"watch=1&after=1 " in desk.read(new)
+        assert desk.node.upstreams.ready == {number_of("s-0"), number_of("s-9")}
+        desk.node.renew()
+        desk.turn_for(0.05)
+        assert desk.node.discovery.following and not select.select([other, new], [], [], 0)[0], "no change"
+
+
+@pytest.mark.parametrize("more", [{"discovery": "nowhere"}, {"seed": 7}])
+def test_a_new_configuration_that_cannot_be_used_is_one_line_and_the_old_one_goes_on(
+    more: dict[str, object], caplog: pytest.LogCaptureFixture
+) -> None:
+    with Desk() as desk:
+        watched(desk)
+        desk.config |= more
+        desk.node.renew()
+        assert [record.message for record in caplog.records] == ["new configuration can't be used"]
+        client = desk.ask()
+        desk.read(upstream := desk.accept())
+        upstream.sendall(answer())
+        assert desk.reply(client) == 200 and desk.node.discovery.following
+
+
 # -- the loop and the clock
 
 
@@ -536,15 +576,19 @@
         self.ear = socket.create_server(("127.0.0.1", 0))
         self.delay = delay
         threading.Thread(target=self.serve, daemon=True).start()
-        file = folder / "config.json"
-        file.write_bytes(config([host("s-0", "{}:{}".format(*self.ear.getsockname()))]))
-        command = [sys.executable, "-m", "maddercart", "serve", "--config", str(file)]
+        self.file = folder / "config.json"
+        self.file.write_bytes(config([host("s-0", "{}:{}".format(*self.ear.getsockname()))]))
+        command = [sys.executable, "-m", "maddercart", "serve", "--config", str(self.file)]
         self.process = subprocess.Popen(command, stderr=subprocess.PIPE, text=True)
-        assert self.process.stderr is not None
-        line = next(line for line in self.process.stderr if "msg=serving" in line)
+        line = self.line("msg=serving")
         name, port = next(word for word in line.split() if "listen=" in word).split("=")[1].split(":")
         self.at = name, int(port)
 
+    def line(self, holds: str) -> str:
+        """The next line of its log that holds something."""
+        assert self.process.stderr is not None
+        return next(line for line in self.process.stderr if holds in line)
+
     def serve(self) -> None:
         while True:
             sock, _ = self.ear.accept()
@@ -612,6 +656,36 @@
     assert all(got.endswith((b"\r\n\r\nwell", b"\r\n\r\nbounced: a retry is harmless\n")) for got in answered)
 
 
+def test_sighup_has_the_configuration_read_again_and_ends_nothing(tmp_path: Path) -> None:
+    """It ended the process, and with it all that was held."""
+    process = Process(tmp_path, delay=0.3)
+    held = process.client()
+    held.sendall(request(expires="900m"))
+    process.process.send_signal(signal.SIGHUP)
+    assert "discovery" not in process.line("configuration read again")
+    process.file.write_bytes(process.file.read_bytes().replace(b"127.0.0.1:1", b"127.0.0.1:2"))
+    for _ in range(50):
+        process.process.send_signal(signal.SIGHUP)
+    assert "to=127.0.0.1:2" in process.line("discovery moves")
+    process.file.unlink()
+    process.process.send_signal(signal.SIGHUP)
+    assert "level=ERROR" in process.line("new configuration can't be used")
+    assert held.recv(65536).startswith(b"HTTP/1.1 200")
+    process.process.send_signal(signal.SIGTERM)
+    process.process.send_signal(signal.SIGHUP)
+    assert process.process.wait(5) == 0
+
+
+def test_a_sighup_before_there_is_a_handler_waits_for_it() -> None:
+    code = (
+        "import os, runpy, signal, sys; sys.argv = ['maddercart', 'version']; import maddercart.cli as cli\n"
+        "cli.app = lambda: (os.kill(os.getpid(), signal.SIGHUP), os.write(1, b'lives'))\n"
+        "runpy.run_module('maddercart', run_name='__main__')"
+    )
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, timeout=20)
+    assert done.stdout == b"lives"
+
+
 def test_log_lines_that_nobody_reads_hold_nothing_up() -> None:
     """A full pipe would block the one thread that serves."""
     code = (
