--- a/maddercart/http/application.py
+++ b/maddercart/http/application.py
@@ -101,12 +101,13 @@
     def answer(self, status: int, headers: Sequence[tuple[bytes, bytes]], body: bytes, close: bool) -> bytes:
         """The bytes of an answer; `closing` tells afterwards whether the connection goes with it."""
         said = [*headers, (b"Connection", b"close")] if close else [*headers]
-        out = self.machine.send(h11.Response(status_code=status, headers=said, reason=phrase(status))) or b""
+        send = self.machine.send_with_data_passthrough  # a body is copied once, with the rest
+        out = send(h11.Response(status_code=status, headers=said, reason=phrase(status))) or []
         if not self.head:
-            out += self.machine.send(h11.Data(data=body)) or b""
-        out += self.machine.send(h11.EndOfMessage()) or b""
+            out += send(h11.Data(data=body)) or []
+        out += send(h11.EndOfMessage()) or []
         if self.machine.our_state is h11.DONE and self.machine.their_state is h11.DONE:
             self.machine.start_next_cycle()
         else:
             self.closing = True
-        return out
+        return b"".join(out)
--- a/maddercart/http/upstream.py
+++ b/maddercart/http/upstream.py
@@ -5,8 +5,6 @@
 
 import h11
 
-MOST_BODY = 65536  # the protocol's limit on bodies
-
 
 class Malformed(ValueError):
     """What came back is no answer, or one over the limit."""
@@ -19,13 +17,19 @@
 
 
 class UpstreamSide:
-    """One connection, which carries one request at a time."""
+    """One connection, which carries one request at a time; an answer's body may hold `most` bytes."""
 
-    def __init__(self) -> None:
+    def __init__(self, most: int) -> None:
+        self.most = most
         self.machine = h11.Connection(h11.CLIENT)
         self.response: h11.Response | None = None
         self.body = bytearray()
 
+    @property
+    def held(self) -> int:
+        """How many bytes of a body have come."""
+        return len(self.body)
+
     def request(
         self, method: bytes, target: bytes, headers: Sequence[tuple[bytes, bytes]], body: bytes
     ) -> bytes:
@@ -44,10 +48,11 @@
                 if event is h11.NEED_DATA or event is h11.PAUSED:
                     return None
                 if isinstance(event, h11.Response):
+                    self.check_length(event)
                     self.response = event
                 elif isinstance(event, h11.Data):
                     self.body += event.data
-                    if len(self.body) > MOST_BODY:
+                    if len(self.body) > self.most:
                         raise Malformed("the body is over the limit")
                 elif isinstance(event, h11.EndOfMessage):
                     response, body, self.response, self.body = self.response, self.body, None, bytearray()
@@ -58,6 +63,12 @@
         except h11.RemoteProtocolError as error:
             raise Malformed(str(error)) from error
 
+    def check_length(self, response: h11.Response) -> None:
+        """Before the body comes: what can't be held is not begun."""
+        for name, value in response.headers:
+            if name == b"content-length" and int(value) > self.most:
+                raise Malformed("the body is over the limit")
+
     def reuse(self) -> bool:
         """After a whole answer: true if the connection can carry a further request."""
         if self.machine.trailing_data[0] or self.machine.our_state is not h11.DONE:
--- a/maddercart/sidecar/applications.py
+++ b/maddercart/sidecar/applications.py
@@ -154,8 +154,7 @@
                     side.feed(data)
                     continue
             except Unreadable as error:
-                self.decisions.counts["unfit"] += 1
-                refusal = unfit(error.status, str(error))
+                refusal = self.unfit(error.status, str(error))
                 out = side.answer(refusal.status, refusal.headers(), refusal.body, close=True)
                 self.enter(application, Phase.REFUSED)
                 if not (yield from write(sock, out, application.until)):
@@ -187,11 +186,9 @@
         try:
             query = read_query(*request, self.offerings)
         except UnfitQuery as error:
-            self.decisions.counts["unfit"] += 1
-            return unfit(error.status, str(error))
+            return self.unfit(error.status, str(error))
         if query.trace in self.traces:  # an answer to either would be taken for the other's
-            self.decisions.counts["unfit"] += 1
-            return unfit(409, "X-Trace-Id is that of a query that is held")
+            return self.unfit(409, "X-Trace-Id is that of a query that is held")
         application.reply = None
 
         def answered(reply: Reply) -> None:
@@ -212,6 +209,11 @@
             self.traces.discard(query.trace)
         return application.reply
 
+    def unfit(self, status: int, reason: str) -> Reply:
+        self.decisions.counts["unfit"] += 1
+        log.debug("request unfit", extra={"status": status, "reason": reason})
+        return unfit(status, reason)
+
     def wait(self, application: Application) -> Generator[Wait, int, bool]:
         """Until there is a reply; true if the client has gone before."""
         while application.reply is None:
--- a/maddercart/sidecar/dispatches.py
+++ b/maddercart/sidecar/dispatches.py
@@ -1,5 +1,6 @@
 """One dispatch: a query goes out on one connection, and that connection comes to one ending."""
 
+import logging
 from collections.abc import Callable, Generator
 
 from maddercart.http.upstream import Malformed, WholeAnswer
@@ -10,6 +11,8 @@
 from maddercart.sidecar.endings import Ending, of_status
 from maddercart.sidecar.pool import Address, Connection, Pool
 
+log = logging.getLogger(__name__)
+
 Ended = tuple[Ending, Answer | None]
 
 
@@ -17,6 +20,7 @@
     def __init__(self, pool: Pool, clock: Callable[[], int]) -> None:
         self.pool, self.clock = pool, clock
         self.connect_timeout = 0
+        self.bodies = self.most_bodies = 0  # bytes of answers that have come in part, and how many may
 
     def send(
         self, query: Query, upstream: int, dial: Address | None, until: int
@@ -67,17 +71,23 @@
     def read(
         self, connection: Connection, until: int
     ) -> Generator[Wait, int, tuple[Ending, WholeAnswer | None]]:
-        while True:
-            try:
+        held = 0
+        try:
+            while True:
                 data = yield from read(connection.sock, until)
-            except OSError:
-                return Ending.BROKE_WRITTEN, None
-            if data is None:
-                return Ending.TIME_UP, None
-            try:
+                if data is None:
+                    return Ending.TIME_UP, None
                 if (whole := connection.side.feed(data)) is not None:
                     return Ending.ANSWERED, whole
-            except Malformed:
-                return (Ending.MALFORMED if data else Ending.BROKE_WRITTEN), None
-            if not data:
-                return Ending.BROKE_WRITTEN, None
+                if not data:
+                    return Ending.BROKE_WRITTEN, None
+                self.bodies, held = self.bodies + connection.side.held - held, connection.side.held
+                if self.bodies > self.most_bodies:  # many large ones at once must not end the process
+                    raise Malformed("there is no room for the body beside others")
+        except OSError:
+            return Ending.BROKE_WRITTEN, None
+        except Malformed as error:
+            log.debug("answer malformed", extra={"upstream": connection.upstream, "reason": str(error)})
+            return (Ending.MALFORMED if data else Ending.BROKE_WRITTEN), None
+        finally:
+            self.bodies -= held
--- a/maddercart/sidecar/node.py
+++ b/maddercart/sidecar/node.py
@@ -26,6 +26,9 @@
 log = logging.getLogger(__name__)
 
 RESERVE = 32  # descriptors for the listener, discovery, epoll, signals, the log and what Python opens
+MEGABYTE = 1 << 20
+# Of the memory for bodies that are coming in: a copy of each goes out, and the program needs its own 30 MB.
+BODIES = 0.15
 COUNTS_EVERY = 10 * SECOND
 
 
@@ -58,6 +61,8 @@
         limits = config.settings.limits
         free = max(2, min(config.limits.sockets, getrlimit(RLIMIT_NOFILE)[0]) - RESERVE)
         self.pool.most, self.applications.most = free - free // 2, free // 2
+        self.dispatcher.most_bodies = int(config.limits.memory_mb * MEGABYTE * BODIES)
+        self.pool.most_body = self.dispatcher.most_bodies // 4
         self.pool.close_after(nanos("limits.idle_close", limits.idle_close))
         self.dispatcher.connect_timeout = nanos("limits.connect_timeout", limits.connect_timeout)
 
--- a/maddercart/sidecar/pool.py
+++ b/maddercart/sidecar/pool.py
@@ -14,9 +14,9 @@
 class Connection:
     __slots__ = ("dial", "resting", "side", "sock", "upstream")
 
-    def __init__(self, upstream: int, dial: Address, sock: socket.socket) -> None:
+    def __init__(self, upstream: int, dial: Address, sock: socket.socket, most_body: int) -> None:
         self.upstream, self.dial, self.sock = upstream, dial, sock
-        self.side = UpstreamSide()
+        self.side = UpstreamSide(most_body)
         self.resting: Task | None = None
 
     def sound(self) -> bool:
@@ -40,7 +40,7 @@
         self, loop: Loop, clock: Callable[[], int], wanted: Container[int]
     ) -> None:
         self.loop, self.clock = loop, clock
-        self.most, self.kept_for = 1, 0
+        self.most, self.kept_for, self.most_body = 1, 0, 0
         self.wanted = wanted  # upstreams that may get something new
         self.idle: defaultdict[int, list[Connection]] = defaultdict(list)  # the last used one last
         self.count = 0
@@ -69,7 +69,7 @@
         except OSError:
             return None
         self.count += 1
-        return Connection(upstream, dial, sock)
+        return Connection(upstream, dial, sock, self.most_body)
 
     def put(self, connection: Connection) -> None:
         if connection.upstream not in self.wanted:
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -87,6 +87,28 @@
             assert desk.node.pool.count == 0, "its connection is closed"
 
 
+def test_answers_are_as_large_as_memory_allows() -> None:
+    """A day had answers of 400 KB; they were taken for malformed, and every upstream for failing."""
+    with Desk() as desk:
+        client, body = desk.ask("post"), "x" * 400_000
+        upstream = desk.accept()
+
+        def push() -> None:
+            with suppress(OSError):
+                upstream.sendall(answer(body=body + "end"))
+
+        for most, status in ((desk.node.dispatcher.most_bodies, b"200"), (100_000, b"502")):
+            desk.node.dispatcher.most_bodies = most
+            desk.read(upstream)
+            upstream.settimeout(5)
+            sender = threading.Thread(target=push)
+            sender.start()
+            got = desk.read(client, b"end" if status == b"200" else b"\r\n\r\n")
+            assert got.split(b" ", 2)[1] == status and not desk.node.dispatcher.bodies
+            sender.join()
+            client.sendall(request("post"))
+
+
 def test_an_upstream_that_half_answers_and_ends_has_reset() -> None:
     with Desk() as desk:
         client = desk.ask("post")
