--- a/maddercart/logic.py
+++ b/maddercart/logic.py
@@ -468,10 +468,10 @@
         self.follow_pause = min(2 * self.follow_pause, self.FOLLOW_MOST)
         self.look_at = min(self.look_at, self.follow_at)
 
-    def take(self, now: int, number: int, offering: int, remaining: int) -> None:
-        terms, room = self.offerings[offering], self.rooms[offering]
-        agreed = now + min(remaining, terms.agreed)
-        self.ledger.queries[number] = Query(number, terms, room, now + remaining, agreed)
+    def take(self, now: int, number: int, offering: int, remaining: int, waited: int = 0) -> None:
+        terms, room = self.offerings[offering], self.rooms[offering] - waited  # its answer will wait as long
+        agreed = now - waited + min(remaining, terms.agreed)
+        self.ledger.queries[number] = Query(number, terms, room, now - waited + remaining, agreed)
         self.lines.add(self.ledger.queries[number])
         self.answers.taken.append(now)
 
--- a/maddercart/messages/answer.py
+++ b/maddercart/messages/answer.py
@@ -11,7 +11,7 @@
 OURS = frozenset({LOAD, NEVER_RAN})
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Answer:
     """A whole answer of an upstream."""
 
@@ -29,7 +29,7 @@
     return Answer(status, passed_on(headers, OURS), body, named.get(NEVER_RAN) == b"1", report)
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Reply:
     """What the application is told. 429 and 503 mean bounced, and nothing but a bounce may say them."""
 
--- a/maddercart/messages/query.py
+++ b/maddercart/messages/query.py
@@ -22,7 +22,7 @@
         self.status = status
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Query:
     method: bytes
     target: bytes
--- a/maddercart/net/loop.py
+++ b/maddercart/net/loop.py
@@ -1,7 +1,7 @@
 """Coroutines that are plain generators. One yields a `Wait` and is resumed with why it goes on.
 
-A turn is one look at the epoll set: what it shows goes to the coroutines that waited for it, those spawned
-`first` before all others, then the timers that are due.
+A turn is one look at the epoll set: what it shows goes to the coroutines that waited for it, by their rank,
+then the timers that are due.
 """
 
 import logging
@@ -15,7 +15,6 @@
 log = logging.getLogger(__name__)
 
 READ, WRITE, NOTHING = select.EPOLLIN, select.EPOLLOUT, 0
-BROKEN = select.EPOLLERR | select.EPOLLHUP
 
 # A timer this late is told: more than a turn with many queries takes, and more than an answer may be late.
 LATE = 50 * MILLISECOND
@@ -24,6 +23,9 @@
 TIME_UP = 0
 WOKEN = -1
 
+# Who goes on first in a turn: what ends work before what begins more.
+FIRST, SOON, LAST = 0, 1, 2
+
 
 class Wait(NamedTuple):
     fd: int = -1  # -1: on nothing but the time and `Loop.wake`
@@ -37,13 +39,14 @@
 class Task:
     """A coroutine under way."""
 
-    __slots__ = ("coroutine", "fd", "first", "step", "timer")
+    __slots__ = ("alarm", "coroutine", "fd", "rank", "step", "until")
 
-    def __init__(self, coroutine: Coroutine, first: bool) -> None:
+    def __init__(self, coroutine: Coroutine, rank: int) -> None:
         self.coroutine: Coroutine | None = coroutine
-        self.first = first
+        self.rank = rank
         self.fd = -1  # on which it waits
-        self.timer: Timer | None = None  # of its wait
+        self.until = NEVER  # its wait ends then
+        self.alarm = NEVER  # the soonest of its timers
         self.step = 0  # counts its resumptions: what was meant for an earlier wait is not for this one
 
     @property
@@ -51,34 +54,30 @@
         return self.coroutine is None
 
 
-class Timer:
-    """Something to be called once, unless it is called off."""
-
-    __slots__ = ("call",)
-
-    def __init__(self, call: Callable[[], None]) -> None:
-        self.call: Callable[[], None] | None = call  # None: it was called, or called off
+NEVER = 1 << 62  # later than any clock
 
 
 class Loop:
-    OFF_LEAST = 256  # timers called off that are not worth a clearing
+    SPARE = 1024  # timers of tasks that are over and are not worth a clearing
 
     def __init__(self, clock: Callable[[], int]) -> None:
         self.clock = clock
         self.epoll = select.epoll()
         self.waiting: dict[int, Task] = {}  # by descriptor
-        self.known: set[int] = set()  # descriptors in the epoll set
-        self.timers: list[tuple[int, int, Timer]] = []
+        self.resting: dict[int, Callable[[], None]] = {}  # by descriptor: what is called once it is readable
+        self.known: dict[int, int] = {}  # descriptors in the epoll set, and what is asked of it
+        self.timers: list[tuple[int, int, Task | Callable[[], None]]] = []
+        self.clear_at = self.SPARE
         self.count = 0  # of timers: those of one time go in the order they were set
-        self.off = 0  # how many of them were called off and are still there
         self.ready: list[tuple[Task, int]] = []
         self.stopped = False
+        self.looked = self.since = clock()  # the last look; what it showed came no earlier than this
 
     # -- coroutines
 
-    def spawn(self, coroutine: Coroutine, first: bool = False) -> Task:
+    def spawn(self, coroutine: Coroutine, rank: int = LAST) -> Task:
         """Starts it at once and runs it up to its first wait."""
-        task = Task(coroutine, first)
+        task = Task(coroutine, rank)
         self.resume(task, WOKEN)
         return task
 
@@ -99,7 +98,7 @@
         task.step += 1
         assert task.coroutine is not None
         try:
-            wait = task.coroutine.send(None if task.step == 1 else why)  # type: ignore[arg-type]
+            fd, events, until = task.coroutine.send(None if task.step == 1 else why)  # type: ignore[arg-type]
         except StopIteration:
             task.coroutine = None
             return
@@ -108,17 +107,19 @@
             log.exception("coroutine failed")
             task.coroutine = None
             return
-        if wait.fd >= 0:
-            self.watch(wait.fd, wait.events)
-            self.waiting[wait.fd] = task
-            task.fd = wait.fd
-        if wait.until is not None:
-            task.timer = self.at(wait.until, lambda: self.resume(task, TIME_UP))
+        if fd >= 0:
+            if self.known.get(fd) != events:
+                self.watch(fd, events)
+            self.waiting[fd] = task
+            task.fd = fd
+        if until is not None:
+            task.until = until
+            if until < task.alarm:  # an earlier timer will do: it sees then that there is more time
+                task.alarm = until
+                self.set(until, task)
 
     def unwait(self, task: Task) -> None:
-        if task.timer is not None:
-            self.call_off(task.timer)
-            task.timer = None
+        task.until = NEVER
         if task.fd >= 0:
             if self.waiting.get(task.fd) is task:
                 del self.waiting[task.fd]
@@ -127,73 +128,109 @@
     # -- descriptors
 
     def watch(self, fd: int, events: int) -> None:
-        """One shot: what nobody waits for is not shown, so that it can't spin."""
+        """Until something else is asked: most wait for the same again, and each change is a system call."""
         if fd in self.known:
-            self.epoll.modify(fd, events | select.EPOLLONESHOT)
+            self.epoll.modify(fd, events)
         else:
-            self.epoll.register(fd, events | select.EPOLLONESHOT)
-            self.known.add(fd)
+            self.epoll.register(fd, events)
+        self.known[fd] = events
+
+    def rest(self, fd: int, call: Callable[[], None]) -> None:
+        """Something is called once it is readable, which costs no coroutine."""
+        if self.known.get(fd) != READ:
+            self.watch(fd, READ)
+        self.resting[fd] = call
+
+    def rouse(self, fd: int) -> None:
+        self.resting.pop(fd, None)
 
     def forget(self, fd: int) -> None:
-        """Before a descriptor is closed."""
-        if fd in self.known:
-            self.known.discard(fd)
+        """Before a descriptor is closed, and where nobody waits for what it shows, or it would spin."""
+        if self.known.pop(fd, None) is not None:
             self.epoll.unregister(fd)
+        self.resting.pop(fd, None)
         if (task := self.waiting.pop(fd, None)) is not None:
             task.fd = -1
 
     # -- timers
 
-    def at(self, when: int, call: Callable[[], None]) -> Timer:
-        timer = Timer(call)
-        self.count += 1
-        heappush(self.timers, (when, self.count, timer))
-        return timer
+    def at(self, when: int, call: Callable[[], None]) -> None:
+        self.set(when, call)
 
-    def call_off(self, timer: Timer) -> None:
-        """Guards against a heap that grows with traffic: each wait that ended early left its timer there,
-        with what hung on it, until the time had come. They go once they are the greater part."""
-        if timer.call is None:
-            return
-        timer.call = None
-        self.off += 1
-        if self.off > max(self.OFF_LEAST, len(self.timers) // 2):
-            self.timers = [entry for entry in self.timers if entry[2].call is not None]
-            heapify(self.timers)
-            self.off = 0
+    def set(self, when: int, what: Task | Callable[[], None]) -> None:
+        self.count += 1
+        heappush(self.timers, (when, self.count, what))
+        if len(self.timers) > self.clear_at:
+            self.clear()
+
+    def clear(self) -> None:
+        """Guards against a heap that grows with traffic: what had ended left its timers there, with what hung
+        on them, until their time had come."""
+        self.timers = [timer for timer in self.timers if not (isinstance(timer[2], Task) and timer[2].over)]
+        heapify(self.timers)
+        self.clear_at = max(self.SPARE, 2 * len(self.timers))
+
+    def ring(self, when: int, what: Task | Callable[[], None]) -> None:
+        if not isinstance(what, Task):
+            what()
+        elif not what.over and what.alarm == when:
+            what.alarm = NEVER
+            if what.until > self.clock():
+                if what.until < NEVER:
+                    what.alarm = what.until
+                    self.set(what.until, what)
+            else:
+                self.resume(what, TIME_UP)
 
     # -- turns
 
+    def behind(self) -> int:
+        """How long what was shown in this turn may have been waiting for it."""
+        return self.clock() - self.since
+
     def run(self) -> None:
         while not self.stopped:
             self.turn()
 
-    def turn(self) -> None:
+    def look(self) -> list[tuple[int, int]]:
         wait = -1.0
-        while self.timers and self.timers[0][2].call is None:
-            heappop(self.timers)
-            self.off -= 1
+        before = self.clock()
         if self.ready:
             wait = 0.0
         elif self.timers:
-            wait = max(0, self.timers[0][0] - self.clock()) / SECOND
-        shown = [(self.waiting[fd], events) for fd, events in self.epoll.poll(wait) if fd in self.waiting]
-        due = [(task, task.step, events) for task, events in sorted(shown, key=lambda one: not one[0].first)]
+            wait = max(0, self.timers[0][0] - before) / SECOND
+        shown = self.epoll.poll(wait)
+        now = self.clock()
+        # A look that was waited for shows what has just come; else it came at any time since the one before.
+        self.since = now if now - before > before - self.looked else self.looked
+        self.looked = now
+        return shown
+
+    def turn(self) -> None:
+        due: list[tuple[Task, int, int]] = []
+        for fd, events in self.look():
+            if (task := self.waiting.get(fd)) is not None:
+                due.append((task, task.step, events))
+            elif (call := self.resting.pop(fd, None)) is not None:
+                call()
+            else:
+                self.forget(fd)
+        due.sort(key=rank)
         due += [(task, step, WOKEN) for task, step in self.ready]
         self.ready.clear()
         for task, step, why in due:
-            if task.step == step and not task.over:
+            if task.step == step and task.coroutine is not None:
                 self.resume(task, why)
         now = self.clock()
         if self.timers and now - self.timers[0][0] > LATE:
             log.warning("stood still", extra={"ms": (now - self.timers[0][0]) // MILLISECOND})
         while self.timers and self.timers[0][0] <= now:
-            timer = heappop(self.timers)[2]
-            call, timer.call = timer.call, None
-            if call is None:
-                self.off -= 1
-            else:
-                try:
-                    call()
-                except Exception:
-                    log.exception("timer failed")  # as with a coroutine: the rest goes on
+            when, _, what = heappop(self.timers)
+            try:
+                self.ring(when, what)
+            except Exception:
+                log.exception("timer failed")  # as with a coroutine: the rest goes on
+
+
+def rank(one: tuple[Task, int, int]) -> int:
+    return one[0].rank
--- a/maddercart/net/sockets.py
+++ b/maddercart/net/sockets.py
@@ -77,8 +77,10 @@
 
 
 def read(sock: socket.socket, until: int | None) -> Generator[Wait, int, bytes | None]:
-    """What comes, empty at the end, None if the time was up before. Raises `OSError` if it broke."""
-    while (data := read_now(sock)) is None:
+    """What comes, empty at the end, None if the time was up before. Raises `OSError` if it broke. A turn
+    of the loop for each: who sends without end holds up no one else."""
+    while True:
         if (yield Wait(sock.fileno(), READ, until)) == TIME_UP:
             return None
-    return data
+        if (data := read_now(sock)) is not None:
+            return data
--- a/maddercart/sidecar/decisions.py
+++ b/maddercart/sidecar/decisions.py
@@ -11,7 +11,7 @@
 from maddercart.logic import Balancer
 from maddercart.messages.answer import Reply, aborted, bounced, done
 from maddercart.messages.query import Query
-from maddercart.net.loop import Coroutine, Loop, Task, Wait
+from maddercart.net.loop import SOON, Coroutine, Loop, Task, Wait
 from maddercart.sidecar.dispatches import Dispatcher, Ended
 from maddercart.sidecar.endings import OUTCOMES, Ending
 from maddercart.sidecar.upstreams import Upstreams
@@ -58,11 +58,12 @@
     # -- what happens
 
     def take(self, query: Query, answer: Callable[[Reply], None]) -> int:
+        """Its time counts from when its last byte came: what the loop is behind has gone already."""
         self.taken += 1
         self.counts["taken"] += 1
         number, now = self.taken, self.clock()
         self.held[number] = Held(query, answer, now)
-        self.balancer.take(now, number, query.offering, query.remaining)
+        self.balancer.take(now, number, query.offering, query.remaining, self.loop.behind())
         self.settle()
         return number
 
@@ -153,7 +154,7 @@
         out = Out(number, held.dispatches, upstream, now)
         held.dispatches += 1
         self.out[number, out.shot] = out
-        task = self.loop.spawn(self.run(held.query, out, now + limit))
+        task = self.loop.spawn(self.run(held.query, out, now + limit), SOON)
         out.task = task
 
     def run(self, query: Query, out: Out, until: int) -> Coroutine:
--- a/maddercart/sidecar/discovery.py
+++ b/maddercart/sidecar/discovery.py
@@ -9,7 +9,7 @@
 from maddercart.http.watch import WatchFailed, WatchSide
 from maddercart.interface import SECOND
 from maddercart.messages.upstreams import Listing, read_listing
-from maddercart.net.loop import Coroutine, Loop, Task, Wait
+from maddercart.net.loop import FIRST, Coroutine, Loop, Task, Wait
 from maddercart.net.sockets import close, connect, read, write
 from maddercart.sidecar.upstreams import Upstreams
 
@@ -36,7 +36,7 @@
             self.loop.at(self.clock(), self.begin)
 
     def begin(self) -> None:
-        self.task = self.loop.spawn(self.watch(), first=True)
+        self.task = self.loop.spawn(self.watch(), FIRST)
 
     def move(self, at: tuple[str, int]) -> None:
         """Follows another service from now on. Its versions are its own, so it is asked for the whole list;
--- a/maddercart/sidecar/node.py
+++ b/maddercart/sidecar/node.py
@@ -104,6 +104,7 @@
         self.learn(self.config.known)
         self.applications.acceptor = self.loop.spawn(self.applications.accept_from(self.listener))
         self.loop.spawn(self.tell())
+        self.loop.spawn(self.pool.sweep())
 
     def stop(self) -> None:
         stopping = stop(self.loop, self.clock, self.listener, self.applications, self.longest, self.leave)
--- a/maddercart/sidecar/pool.py
+++ b/maddercart/sidecar/pool.py
@@ -5,19 +5,20 @@
 from collections.abc import Callable, Container
 
 from maddercart.http.upstream import UpstreamSide
-from maddercart.net.loop import READ, Coroutine, Loop, Task, Wait
+from maddercart.interface import SECOND
+from maddercart.net.loop import Coroutine, Loop, Wait
 from maddercart.net.sockets import close
 
 Address = tuple[str, int]
 
 
 class Connection:
-    __slots__ = ("dial", "resting", "side", "sock", "upstream")
+    __slots__ = ("dial", "side", "since", "sock", "upstream")
 
     def __init__(self, upstream: int, dial: Address, sock: socket.socket, most_body: int) -> None:
         self.upstream, self.dial, self.sock = upstream, dial, sock
         self.side = UpstreamSide(most_body)
-        self.resting: Task | None = None
+        self.since = 0  # idle
 
     def sound(self) -> bool:
         """A spare connection that has something to read is at its end: nothing was asked."""
@@ -35,10 +36,9 @@
 
     # Of the time after which an upstream closes an idle one: what is sent while it does so ends as a reset.
     KEPT = 0.7
+    SWEEP_EVERY = SECOND  # for those that have grown old: well under what is left of that time
 
-    def __init__(
-        self, loop: Loop, clock: Callable[[], int], wanted: Container[int]
-    ) -> None:
+    def __init__(self, loop: Loop, clock: Callable[[], int], wanted: Container[int]) -> None:
         self.loop, self.clock = loop, clock
         self.most, self.kept_for, self.most_body = 1, 0, 0
         self.wanted = wanted  # upstreams that may get something new
@@ -52,7 +52,7 @@
         """An idle one that is sound, the last used first: the others grow old and go."""
         while spare := self.idle[upstream]:
             connection = spare.pop()
-            self.rouse(connection)
+            self.loop.rouse(connection.sock.fileno())
             if connection.dial == dial and connection.sound():
                 return connection
             self.close(connection)
@@ -75,34 +75,33 @@
         if connection.upstream not in self.wanted:
             return self.close(connection)
         self.idle[connection.upstream].append(connection)
-        connection.resting = self.loop.spawn(self.rest(connection))
+        connection.since = self.clock()
+        self.loop.rest(connection.sock.fileno(), lambda: self.drop(connection))
 
-    def rest(self, connection: Connection) -> Coroutine:
-        yield Wait(connection.sock.fileno(), READ, self.clock() + self.kept_for)
-        connection.resting = None
+    def drop(self, connection: Connection) -> None:
+        """An idle one that has something to read, or is too old."""
         self.idle[connection.upstream].remove(connection)
         self.close(connection)
 
-    def rouse(self, connection: Connection) -> None:
-        if connection.resting is not None:
-            self.loop.end(connection.resting)
-            connection.resting = None
-
     def close(self, connection: Connection) -> None:
         if connection.sock.fileno() >= 0:
             self.count -= 1
             close(self.loop, connection.sock)
 
+    def sweep(self) -> Coroutine:
+        while True:
+            yield Wait(until=self.clock() + self.SWEEP_EVERY)
+            before = self.clock() - self.kept_for
+            for spare in self.idle.values():
+                while spare and spare[0].since <= before:
+                    self.drop(spare[0])
+
     def drop_unwanted(self) -> None:
         """The spare ones of upstreams that get nothing new."""
         for upstream in [upstream for upstream in self.idle if upstream not in self.wanted]:
             for connection in self.idle.pop(upstream):
-                self.rouse(connection)
                 self.close(connection)
 
     def drop_oldest(self) -> None:
-        for spare in self.idle.values():
-            if spare:
-                connection = spare.pop(0)
-                self.rouse(connection)
-                return self.close(connection)
+        if oldest := [spare[0] for spare in self.idle.values() if spare]:
+            self.drop(min(oldest, key=lambda connection: connection.since))
--- a/maddercart/sidecar/signals.py
+++ b/maddercart/sidecar/signals.py
@@ -4,7 +4,7 @@
 import socket
 from collections.abc import Callable
 
-from maddercart.net.loop import READ, Coroutine, Loop, Wait
+from maddercart.net.loop import FIRST, READ, Coroutine, Loop, Wait
 
 STOPS = (signal.SIGTERM, signal.SIGINT)
 
@@ -30,4 +30,4 @@
                 stopping = True
                 stop()
 
-    loop.spawn(waiting(), first=True)
+    loop.spawn(waiting(), FIRST)
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -557,13 +557,26 @@
     def waiter() -> Coroutine:
         yield Wait(until=loop.clock() + 60 * i.SECOND)
 
-    tasks = [loop.spawn(waiter()) for _ in range(3000)]
-    for task in tasks[:-1]:
-        loop.end(task)
-    assert len(loop.timers) < 2 * loop.OFF_LEAST
-    loop.at(loop.clock(), lambda: loop.end(tasks[-1]))
-    loop.turn()
-    assert all(timer.call is None for _, _, timer in loop.timers) and len(loop.timers) == loop.off
+    for _ in range(10):
+        for task in [loop.spawn(waiter()) for _ in range(1000)]:
+            loop.end(task)
+        assert len(loop.timers) <= loop.SPARE + 1
+    near, _ = socket.socketpair()
+
+    def reader() -> Coroutine:
+        for late in range(5000):
+            seen = yield Wait(near.fileno(), 1, loop.clock() + (5000 - late) * MS)
+        yield Wait(near.fileno(), 1, loop.clock() + 20 * MS if seen < 0 else None)
+        loop.stopped = True
+
+    loop.clear()
+    task = loop.spawn(reader())
+    for _ in range(5000):
+        loop.resume(task, -1)
+    assert len(loop.timers) < 5000, "a later end needs no timer of its own"
+    loop.run()
+    assert task.over
+    near.close()
     loop.epoll.close()
 
 
