--- a/maddercart/logic.py
+++ b/maddercart/logic.py
@@ -59,8 +59,7 @@
 
     def expected(self, now: int, typical: int, pace: int, growth: float, fresh: int) -> int:
         """How long one more query would take here: by the last few answers while they are fresh, else as long
-        as its zone lately took. The others' loads move as ours does, each on its own: `growth` is a root.
-        What came late for a queue of ours that has gone is no reason to turn a query away."""
+        as its zone lately took. The others' loads move as ours does, each on its own: `growth` is a root."""
         out, fade, here = len(self.out), 0.0, 0.0
         if self.samples:
             durations = [duration for _, duration, _ in self.samples]
@@ -69,7 +68,7 @@
             then = sum([then for _, _, then in self.samples]) / len(self.samples)
             fade = max(0.0, 1 - (now - self.samples[-1][0]) / fresh)
             each = base / max(self.size, then + 1)
-            here = max(base + growth * (out - then) * each, each)
+            here = max(base + growth * (out - then) * each, each)  # a queue that has gone turns none away
         else:
             pace += int(max(0.0, (growth * out + 1) / self.size - 1) * typical)
         estimate = fade * here + (1 - fade) * max(pace, self.reported(now, typical))
@@ -115,8 +114,7 @@
         self.cold = [[known for known in zone if known.warm_at > now] for zone in well]
         self.sort_at = min((known.warm_at for known in chain(*self.cold)), default=1 << 62)
 
-    def members(self, now: int, zone: int, taken: Sequence[int]) -> list[Upstream]:
-        """The upstreams of a zone we use. One that goes is replaced by the next in rank, no other moves."""
+    def members(self, now: int, zone: int, taken: Sequence[int]) -> list[Upstream]:  # those of a zone we use
         return self.usable[zone][: max(self.LEAST, len(taken) * self.MEET // max(SECOND, now - taken[0]))]
 
 
@@ -127,16 +125,14 @@
     SPANS = 8  # of the last queries: with much traffic it fades as fast as some hundreds of them come
 
     def __init__(self, now: int, zones: int, unheard: int) -> None:
-        self.unheard, self.settled = unheard, now
+        self.unheard = self.typical = self.quarter = unheard  # the middle one of the last; the lower quarter
+        self.settled = now
         self.taken = deque([now - self.FRESH] * 32, maxlen=32)  # when the last queries came: our own rate
         self.durations: deque[tuple[int, int]] = deque(maxlen=32)  # the last answers: end, duration
-        self.typical = self.quarter = unheard  # the middle one of these, and the lower quarter
-        # By machine kind: the last answers, and their mean, which is what candidates are drawn by.
+        # By machine kind: how long the last took, and their mean, which is what candidates are drawn by.
         self.kinds: dict[int, deque[int]] = defaultdict(lambda: deque([unheard] * 4, maxlen=16))
         self.kind_paces: dict[int, float] = defaultdict(lambda: unheard + 1.0)
-        # By zone: the last answers, when and how long; when each dispatch was sent that is still out.
-        self.last: list[deque[tuple[int, int]]] = [deque(maxlen=16) for _ in range(zones)]
-        self.out: list[dict[tuple[int, int], int]] = [{} for _ in range(zones)]
+        self.last: list[deque[tuple[int, int]]] = [deque(maxlen=16) for _ in range(zones)]  # by zone
 
     def fresh(self, now: int) -> int:
         return max(1, min(self.FRESH, self.SPANS * (now - self.taken[0])))
@@ -153,16 +149,15 @@
         since = now - self.fresh(now)
         return [duration for at, duration in answers if at > since]
 
-    def settle(self, now: int) -> None:
-        """Figures of old answers go: who turned all away for what it had seen never saw more."""
+    def settle(self, now: int) -> None:  # old figures go: who turned all away for them never saw new ones
         self.settled, durations = now, self.lately(now, self.durations)
         durations = sorted(durations + [self.unheard] * (8 - len(durations)))
         self.typical, self.quarter = durations[len(durations) // 2], durations[len(durations) // 4]
 
-    def pace(self, now: int, zone: int) -> int:
+    def pace(self, now: int, zone: int, there: Sequence[Upstream]) -> int:
         """What an answer lately took in a zone; a dispatch overdue there counts before its answer comes."""
-        took = self.lately(now, self.last[zone])
-        took += [now - at for at in islice(self.out[zone].values(), 16) if now - at > self.typical]
+        took, due = self.lately(now, self.last[zone]), now - self.typical
+        took += [now - at for one in there if one.out for at, _ in islice(one.out.values(), 4) if at < due]
         took += [min(self.typical, self.unheard)] * (Upstream.FEW - len(took))
         return sum(took) // len(took)
 
@@ -251,8 +246,7 @@
         self.canary_zone: int | None = None
         self.canary_sent, self.canary_until = False, 0
 
-    def lay(self, zones: Sequence[Sequence[Upstream]]) -> None:
-        """The primary: our zone and the next ones while it holds under a zone's part of the fleet."""
+    def lay(self, zones: Sequence[Sequence[Upstream]]) -> None:  # ours, and the next while it is small
         part, count = sum(map(len, zones)) // len(zones), 1
         while sum(len(zones[zone]) for zone in self.order[:count]) < part:
             count += 1
@@ -385,11 +379,14 @@
         self.queries: dict[int, Query] = {}
 
     def may_send(self, now: int, query: Query) -> bool:  # only ever one is out
-        if query.ended or query.out or now >= query.stop or len(query.sent) >= self.dispatches:
+        return not query.out and self.may_repeat(now, query, query.suspects)
+
+    def may_repeat(self, now: int, query: Query, suspects: set[int]) -> bool:  # if these may have run
+        if query.ended or now >= query.stop or len(query.sent) >= self.dispatches:
             return False
-        if query.suspects and query.terms.effect == LABELLED:
-            return now - query.sent[min(query.suspects)][1] < query.terms.window
-        return not query.suspects or query.terms.effect == REDOABLE
+        if suspects and query.terms.effect == LABELLED:
+            return now - query.sent[min(suspects)][1] < query.terms.window
+        return not suspects or query.terms.effect == REDOABLE
 
     def may_go_to(self, query: Query, known: Upstream) -> bool:  # never one twice; repeats stay there
         if any(known is where for where, _ in query.sent):
@@ -415,8 +412,7 @@
         (self.further if query.sent else self.first).append(query)
 
     def next(self) -> Query | None:
-        line = self.first or self.further
-        return line.popleft() if line else None
+        return line.popleft() if (line := self.first or self.further) else None
 
     def stir(self) -> None:  # a probe's answer is in, or overdue
         while self.waiting:
@@ -471,8 +467,8 @@
     def take(self, now: int, number: int, offering: int, remaining: int, waited: int = 0) -> None:
         terms, room = self.offerings[offering], self.rooms[offering] - waited  # its answer will wait as long
         agreed = now - waited + min(remaining, terms.agreed)
-        self.ledger.queries[number] = Query(number, terms, room, now - waited + remaining, agreed)
-        self.lines.add(self.ledger.queries[number])
+        self.lines.add(Query(number, terms, room, now - waited + remaining, agreed))
+        self.ledger.queries[number] = self.lines.first[-1]
         self.answers.taken.append(now)
 
     def outcome(
@@ -481,9 +477,10 @@
     ) -> None:  # fmt: skip
         known, query = self.roster.by_id.get(upstream), self.ledger.queries.get(number)
         if known is not None and (sent := known.out.pop((number, shot), None)) is not None:
-            self.answers.out[known.entry.zone].pop((number, shot), None)
             known.report = (now, report) if report is not None else known.report
             canary = bool(query and query.canary and not shot)
+            if outcome == DONE and not known.canary_out:
+                self.give_up(now, known, sent[0])
             if outcome not in (CANCELLED, MOOT):
                 self.judge(now, known, outcome, duration, sent[1], canary)
             elif canary:  # it tells nothing; waited for, it would be the last one that is ever sent
@@ -524,6 +521,14 @@
             self.group.heard(now, known.entry.zone, outcome == DONE)
             self.look_at = self.look_at if outcome == DONE else now
 
+    def give_up(self, now: int, known: Upstream, sent: int) -> None:
+        """Where it may go again, what a later one overtook by far: its connection alone has fallen silent."""
+        for (number, shot), (at, then) in list(known.out.items()) if self.permits.cancel else ():
+            query, overtaken = self.ledger.queries[number], at < sent and self.lags(now - at, then)
+            if overtaken and self.ledger.may_repeat(now, query, query.suspects | {shot}):
+                del known.out[number, shot]
+                self.said.append(("cancel", number, shot))
+
     def canary_back(self, now: int, known: Upstream, good: bool) -> None:
         if known.canary_out:
             self.health.canary(now, known, good)
@@ -555,8 +560,7 @@
         self.wake_at = self.look_at
         return ("wake", self.wake_at - now)
 
-    def look(self, now: int) -> None:
-        """What is due by the clock; nothing is asked of the host while nothing is."""
+    def look(self, now: int) -> None:  # what is due by the clock
         self.lines.stir()
         if now >= self.follow_at:
             self.follow_at = self.NEVER
@@ -575,8 +579,7 @@
         group, work = self.group, self.work()
         if group.canary_zone is not None and not group.canary_sent:
             zone = self.roster.zones[group.canary_zone]
-            may = [known for known in zone if not known.probe_out and self.cold.allows(now, known, work)]
-            if may:
+            if may := [known for known in zone if not known.probe_out and self.cold.allows(now, known, work)]:
                 group.canary_sent = True
                 return self.pick.better(now, self.pick.pair(may, []), may)
         for known in self.health.ejected.values():
@@ -614,7 +617,7 @@
         for place, zone in enumerate(self.group.zones(now)):
             ready, fed = self.candidates(now, query, zone)
             pair = (not query.sent and query.asked.get(zone)) or self.pick.pair(ready, fed)
-            pace = self.answers.pace(now, zone)
+            pace = self.answers.pace(now, zone, self.roster.zones[zone])
             if self.permits.probes and not query.sent:
                 if zone not in query.asked and not all(known.heard(now) for known in pair):
                     if self.ask(now, query, zone, pair):
@@ -672,7 +675,6 @@
         if now < known.warm_at:
             known.sent_cold.append(now)
         known.out[query.number, shot] = (now, len(known.out))
-        self.answers.out[known.entry.zone][query.number, shot] = now
         query.sent.append((known, now))
         query.out.add(shot)
         return ("dispatch", query.number, known.entry.upstream, query.stop - now)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -209,6 +209,25 @@
     assert set(roster.by_id) == {51} and not health.ejected
 
 
+@pytest.mark.parametrize("effect", [i.REDOABLE, i.LABELLED, i.IRREVERSIBLE])
+def test_what_later_ones_overtook_by_far_is_given_up_where_it_may_go_again(effect: int) -> None:
+    """One connection in a hundred fell silent, its query was kept until its hard stop, and the upstream that
+    answered all others was taken for as slow as that, and everything bounced."""
+    host = Host([entry(0)], zones=1, offerings=[offering(effect, window=2 * i.SECOND)])
+    assert [host.take()[0][2] for _ in range(2)] == [0, 0]
+    host.now += 20 * MS
+    assert verbs(host.end(2, 0, i.DONE)) == [], "it is not late by far"
+    assert host.take()[0][2] == 0
+    host.balancer.learn(host.now, [entry(1)], False)
+    host.now += host.balancer.health.LAG * host.balancer.answers.typical
+    made = host.end(3, 0, i.DONE)
+    if effect == i.IRREVERSIBLE:
+        assert verbs(made) == [] and host.out
+    else:
+        assert ("cancel", 1, 0) in made and not host.balancer.roster.by_id[0].out
+        assert host.end(1, 0, i.CANCELLED)[0][:3] == ("dispatch", 1, 1)
+
+
 def test_a_queue_of_ours_is_no_fault_of_an_upstream() -> None:
     """A zone that was merely full was ejected server by server, and the rest of it jammed."""
     balancer = Host([entry(0)], zones=1).balancer
@@ -247,12 +266,12 @@
     assert answers.fresh(host.now) < i.SECOND
     for _ in range(8):
         answers.add(host.now, entry(0), 900 * MS)
-    assert answers.pace(host.now, 0) > 400 * MS
+    assert answers.pace(host.now, 0, []) > 400 * MS
     for _ in range(350):
         host.now += 3 * MS
         answers.taken.append(host.now)  # which is turned away
     answers.settle(host.now)
-    assert answers.pace(host.now, 0) <= answers.unheard
+    assert answers.pace(host.now, 0, []) <= answers.unheard
 
 
 def test_an_estimate_fades_once_the_load_has_gone() -> None:
