--- a/maddercart/logic.py
+++ b/maddercart/logic.py
@@ -44,7 +44,7 @@
         self.samples: deque[tuple[int, int, int]] = deque(maxlen=self.SAMPLES)  # end, duration, out then
         self.sent_cold: deque[int] = deque()  # when it was sent each of the last queries while cold
         self.report: tuple[int, Report] | None = None  # when heard
-        self.failures = self.pauses = self.failed_at = 0  # in a row, below 0 successes; since last well; when
+        self.failures = self.pauses = 0  # in a row, below 0 successes; since it was last well
         self.canary_due, self.canary_out, self.probe_out = 0, False, False  # due: set while ejected
 
     def heard(self, now: int) -> bool:  # an answer or a report has come lately
@@ -157,7 +157,7 @@
     def pace(self, now: int, zone: int, there: Sequence[Upstream]) -> int:
         """What an answer lately took in a zone; a dispatch overdue there counts before its answer comes."""
         took, due = self.lately(now, self.last[zone]), now - self.typical
-        took += [now - at for one in there if one.out for at, _ in islice(one.out.values(), 4) if at < due]
+        took += [now - at for one in there if one.out for at, _ in islice(one.out.values(), 16) if at < due]
         took += [min(self.typical, self.unheard)] * (Upstream.FEW - len(took))
         return sum(took) // len(took)
 
@@ -200,11 +200,8 @@
         self.spread = chance.uniform
         self.ejected: dict[int, Upstream] = {}
 
-    def judge(self, now: int, known: Upstream, good: bool, sent: int) -> bool:  # true if it ejects it
-        if not good and sent < known.failed_at:  # connections that break together are one failure, not a row
-            return False
+    def judge(self, now: int, known: Upstream, good: bool) -> bool:  # true if it ejects the upstream
         known.failures = min(0, known.failures - 1) if good else max(0, known.failures) + 1
-        known.failed_at = known.failed_at if good else now
         known.pauses *= known.failures > -self.WELL
         if ejects := not known.canary_due and known.failures >= self.IN_A_ROW:
             self.postpone(now, known)
@@ -515,7 +512,7 @@
             good = not self.lags(duration, then)
         if canary:
             return self.canary_back(now, known, good)
-        if self.health.judge(now, known, good, now if outcome == TIMED_OUT else now - duration):
+        if self.health.judge(now, known, good):
             self.said.append(("note", f"ejected {known.entry.upstream}"))
             self.roster.sort_at = self.look_at = now
         if outcome in (DONE, UNREACHABLE, RESET, TIMED_OUT):
