--- a/maddercart/interface.py
+++ b/maddercart/interface.py
@@ -124,4 +124,5 @@
     probes: bool
     come_back: int
     follow: bool
+    moving: bool = False  # the list's sizes are lowered by what an upstream holds: size / (1 + held a core)
     crossing: float = 0.0  # what a dispatch to another zone costs, in earnings of a query
--- a/maddercart/logic.py
+++ b/maddercart/logic.py
@@ -36,10 +36,13 @@
 
     SAMPLES = 8  # enough for a median that one odd answer cannot move, few enough to follow a change
     FEW = 4  # fewer answers than this are filled up with the middle one of all: one odd answer is no queue
+    TOLD = 4  # a list a second: the last figure alone tells nothing of the next answer, more are too old
     HEARD = SECOND // 2  # an older report tells of a queue that has turned: who was heard is not probed
 
     def __init__(self, entry: Entry, rank: int, out: dict[tuple[int, int], tuple[int, int]]) -> None:
         self.entry, self.size, self.warm_at = entry, 1.0, 0
+        self.shares: deque[float] = deque(maxlen=self.TOLD)  # 1 over the list's last figures of it
+        self.most = self.crowd = 0.0  # the figure when it was idle; held a core, and one more
         self.rank, self.out = rank, out  # its place in our set; dispatch: when sent, how many were out
         self.samples: deque[tuple[int, int, int]] = deque(maxlen=self.SAMPLES)  # end, duration, out then
         self.sent_cold: deque[int] = deque()  # when it was sent each of the last queries while cold
@@ -51,13 +54,16 @@
         answered = bool(self.samples) and now - self.samples[-1][0] < self.HEARD
         return answered or (self.report is not None and now - self.report[0] < self.HEARD)
 
-    def reported(self, now: int, typical: int) -> int:  # by its report, while that is fresh
+    def reported(self, now: int, typical: int, usual: float = 0.0) -> int:
+        """By its report, while that is fresh; else by what the list tells that it and the others hold."""
         if self.report is None or now - self.report[0] >= self.HEARD:
-            return 0
+            return int(typical * self.crowd / usual) if usual else 0
         held = max(self.report[1].held + 1, self.report[1].waiting + self.size)
         return int(typical * max(1.0, held / self.size))
 
-    def expected(self, now: int, typical: int, pace: int, growth: float, fresh: int) -> int:
+    def expected(
+        self, now: int, typical: int, pace: int, growth: float, fresh: int, usual: float = 0.0
+    ) -> int:
         """How long one more query would take here: by the last few answers while they are fresh, else as long
         as its zone lately took. The others' loads move as ours does, each on its own: `growth` is a root."""
         out, fade, here = len(self.out), 0.0, 0.0
@@ -71,7 +77,7 @@
             here = max(base + growth * (out - then) * each, each)  # a queue that has gone turns none away
         else:
             pace += int(max(0.0, (growth * out + 1) / self.size - 1) * typical)
-        estimate = fade * here + (1 - fade) * max(pace, self.reported(now, typical))
+        estimate = fade * here + (1 - fade) * max(pace, self.reported(now, typical, usual))
         return int(max(estimate, now - next(iter(self.out.values()))[0] if self.out else 0))
 
 
@@ -81,8 +87,11 @@
     LEAST = 3  # upstreams used of a zone: a pick of two, and one more to compare them with
     MEET = SECOND  # and as many as get a query of ours within this time: then their answers are fresh
 
-    def __init__(self, place: Place, cold: ColdRule) -> None:
-        self.number, self.ramp, self.window = place.number, cold.ramp, cold.window
+    HUGE = 1e6  # a size beyond any machine's: such a figure, or none, counts as 1
+
+    def __init__(self, place: Place, cold: ColdRule, moving: bool) -> None:
+        self.number, self.ramp, self.window, self.moving = place.number, cold.ramp, cold.window, moving
+        self.usual = 0.0  # the mean of what the ready ones hold a core, and one more, where that is told
         self.by_id: dict[int, Upstream] = {}
         self.zones: list[list[Upstream]] = [[] for _ in range(place.zones)]  # those ready, by rank
         self.usable = self.cold = self.zones  # of these the warm ones and the cold ones, none ejected
@@ -94,12 +103,15 @@
         for old in self.by_id.values() if whole else ():
             old.entry = old.entry._replace(condition=GONE)
         for entry in entries:
+            size = entry.size if 0 < entry.size < self.HUGE else 1.0
             known = self.by_id.get(entry.upstream)
             if known is None or entry.launched > known.entry.launched:
                 out = known.out if known else {}  # it restarted: all else was of another process
                 known = self.by_id[entry.upstream] = Upstream(entry, mix(self.number, entry.upstream), out)
                 known.warm_at = entry.launched + self.ramp if entry.launched else 0
-            known.entry, known.size = entry, max(1.0, entry.size)
+            known.entry, known.size = entry, known.size if self.moving else max(1.0, size)
+            known.most = max(known.most, size)
+            known.shares.append(1 / size)
         for number, known in list(self.by_id.items()):
             if known.entry.condition == GONE and not known.out and now >= known.warm_at + self.window:
                 del self.by_id[number]
@@ -107,6 +119,20 @@
         ready.sort(key=lambda known: known.rank, reverse=True)
         self.zones = [[k for k in ready if k.entry.zone == zone] for zone in range(len(self.zones))]
         self.sort_at = 0
+        if self.moving:
+            self.weigh(ready)
+
+    def weigh(self, ready: list[Upstream]) -> None:
+        """The list gives size over what is held: taken for the size, it made each machine another one every
+        second. A kind's size is its greatest figure, a quarter left out so that no odd one stands for all."""
+        most: dict[int, list[float]] = defaultdict(list)
+        for known in ready:
+            most[known.entry.kind].append(known.most)
+        sizes = {kind: sorted(those)[3 * (len(those) - 1) // 4] for kind, those in most.items()}
+        for known in ready:
+            known.size = sizes[known.entry.kind]
+            known.crowd = max(1.0, known.size * sum(known.shares) / len(known.shares))
+        self.usual = sum(known.crowd for known in ready) / max(1, len(ready))
 
     def sort(self, now: int) -> None:  # due after a change of the list, an ejection, a return, warmth
         well = [[known for known in zone if not known.canary_due] for zone in self.zones]
@@ -323,12 +349,13 @@
         self.draw, self.choices, self.kind_paces = chance.random, chance.choices, kind_paces
 
     def load(self, now: int, known: Upstream, others: Sequence[Upstream] = ()) -> float:
-        if known.report is None:  # what was never heard of takes the others' mean
+        if known.report is None and not known.crowd:  # what was never heard of takes the others' mean
             heard = [self.load(now, other) for other in others if other.report or other.samples]
             return len(known.out) + (0.0 if known.samples else sum(heard) / max(1, len(heard)))
-        at, report = known.report
+        at, report = known.report or (now - self.AGE, None)
         weight = max(0.0, 1 - (now - at) / self.AGE)
-        return len(known.out) + weight * max(report.held, report.waiting, 0.0)
+        told = max(0.0, known.crowd - 1) * known.size * (1 - weight)  # by the list, where that tells it
+        return len(known.out) + told + (weight * max(report.held, report.waiting, 0.0) if report else 0.0)
 
     def pair(self, ready: list[Upstream], fed: list[Upstream]) -> list[Upstream]:
         """Two at random, or the cold one that is ours to feed and one at random."""
@@ -438,7 +465,8 @@
         chance = Random(seed)
         self.spread = chance.uniform
         self.shortest = min((o.agreed for o in offerings), default=SECOND)
-        self.roster, self.cold = Roster(place, cold), ColdBudget(cold, place)
+        self.roster, self.cold = Roster(place, cold, permits.moving), ColdBudget(cold, place)
+        self.asks = permits.probes and not permits.moving  # a list that tells loads leaves nothing to ask
         self.answers = Answers(now, place.zones, int(self.shortest * self.UNHEARD))
         self.health, self.group = Health(chance), Group(place, chance)
         self.pick = Pick(chance, self.answers.kind_paces)
@@ -446,7 +474,8 @@
         self.offerings, self.permits, self.growth = offerings, permits, place.sidecars**0.5
         ranks = [sum(p.earnings > o.earnings for p in offerings) for o in offerings]
         late = self.LATE - self.UNSURE * (1 - 1 / self.growth) ** 2
-        self.rooms = [int(self.shortest * max(late - self.YIELD * rank, self.LEAST)) for rank in ranks]
+        shares = [max(late - self.YIELD * rank, self.LEAST) for rank in ranks]
+        self.rooms = [int(o.agreed * share) for o, share in zip(offerings, shares, strict=True)]
         self.said: deque[Decision] = deque()
         self.look_at, self.wake_at = now, self.NEVER  # when there is something to do; the timer that is out
         self.follow_at, self.follow_pause = now if permits.follow else self.NEVER, self.FOLLOW_FIRST
@@ -606,7 +635,7 @@
 
     def choose(self, now: int, query: Query) -> tuple[Upstream | None, int]:
         """The pick in the first zone that can answer in time; else the soonest of the picks."""
-        enough = int(self.shortest * (self.SURPLUS + self.permits.crossing))
+        enough = int(query.terms.agreed * (self.SURPLUS + self.permits.crossing))
         if now >= self.roster.sort_at:
             self.roster.sort(now)
         if now - self.answers.settled > min(SECOND, fresh := self.answers.fresh(now)):
@@ -616,7 +645,7 @@
             ready, fed = self.candidates(now, query, zone)
             pair = (not query.sent and query.asked.get(zone)) or self.pick.pair(ready, fed)
             pace = self.answers.pace(now, zone, self.roster.zones[zone])
-            if self.permits.probes and not query.sent:
+            if self.asks and not query.sent:
                 if zone not in query.asked and not all(known.heard(now) for known in pair):
                     if self.ask(now, query, zone, pair):
                         return None, 0
@@ -627,7 +656,7 @@
                 if not (pair := pair or self.pick.pair(ready, [])):
                     break
                 chosen = self.pick.better(now, pair, ready, pair[0] in fed)
-                expected = chosen.expected(now, typical, pace, self.growth, fresh)
+                expected = chosen.expected(now, typical, pace, self.growth, fresh, self.roster.usual)
                 if chosen in fed:
                     expected = int(self.work() / self.cold.share(now, chosen))
                 if expected <= enough:
--- a/maddercart/messages/config.py
+++ b/maddercart/messages/config.py
@@ -53,6 +53,7 @@
     charges: Charges = Charges()
     feedback: Feedback = Feedback()
     discovery: str = ""
+    weight_kind: str = "none"
     self_index: int = 0
     group_size: int = 1
     zone: int = 0
--- a/maddercart/translation.py
+++ b/maddercart/translation.py
@@ -7,6 +7,7 @@
 from maddercart.messages.config import OfferingTerms, Settings
 
 EFFECTS = {"free": i.REDOABLE, "guarded": i.LABELLED, "single_shot": i.IRREVERSIBLE}
+WEIGHTS = {"none": 0, "nominal": 1, "rough": 2, "live": 3}  # what the list's figure for an upstream is
 GROUPS = {"all": i.EVERYWHERE, "zone": i.SAME_ZONE, "cell": i.SAME_CELL}
 
 
@@ -60,6 +61,7 @@
             cancel=limits.cancel,
             probes=limits.probing,
             come_back=come_back,
+            moving=one_of("weight_kind", WEIGHTS, settings.weight_kind) == WEIGHTS["live"],
             crossing=settings.charges.cross_zone,
             follow=settings.discovery == "ask",
         ),
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -414,3 +414,35 @@
     terms = [offering(earnings=2.0), offering(earnings=1.0)]
     few, many = (Host([entry(0)], sidecars=n, offerings=terms).balancer.rooms for n in (1, 500))
     assert few == [360 * MS, 300 * MS] and 240 * MS <= many[1] < many[0] < 310 * MS
+
+
+def test_a_figure_that_moves_with_load_is_the_size_over_what_is_held() -> None:
+    """Taken for the size it made each machine another one every second: small when busy, large when dead."""
+    host = Host([entry(n)._replace(size=4.0) for n in range(3)], zones=1, permits=permits(moving=True))
+    roster = host.balancer.roster
+    for told in (1.0, 0.5, 1.0, 2.0):  # 3, 7, 3 and 1 held a core
+        host.balancer.learn(host.now, [entry(0)._replace(size=told)], False)
+    busy, idle = roster.by_id[0], roster.by_id[1]
+    assert (busy.size, busy.crowd) == (4.0, 4.5) and (idle.size, idle.crowd) == (4.0, 1.0)
+    pick = host.balancer.pick
+    assert pick.load(host.now, busy) > pick.load(host.now, idle) == 0
+    assert {host.balancer.pick.better(host.now, [busy, idle], []) for _ in range(9)} == {idle}
+
+
+@pytest.mark.parametrize("odd", [0.0, -3.0, 1e300, float("nan"), float("inf"), float("-inf")])
+@pytest.mark.parametrize("moving", [False, True])
+def test_an_odd_figure_on_the_list_harms_nothing(odd: float, moving: bool) -> None:
+    lines = [entry(n)._replace(size=odd if n == 1 else 2.0) for n in range(4)]
+    host = Host(lines, zones=1, permits=permits(moving=moving))
+    assert {known.size for known in host.balancer.roster.by_id.values()} <= {1.0, 2.0}
+    for _ in range(8):
+        host.balancer.learn(host.now, lines, False)
+        assert verbs(host.take())[0] == "dispatch"
+
+
+def test_each_offering_has_the_room_of_its_own_agreed_time() -> None:
+    """All were held to the shortest: with 200 to 500 ms agreed, half were bounced that had time enough."""
+    terms = [offering(agreed=agreed * MS) for agreed in (200, 500)]
+    host = Host([entry(0)], zones=1, offerings=terms)
+    host.balancer.roster.by_id[0].samples.extend((host.now, 300 * MS, 0) for _ in range(8))
+    assert verbs(host.take(0)) == ["bounce"] and verbs(host.take(1))[0] == "dispatch"
