--- a/maddercart/logic.py
+++ b/maddercart/logic.py
@@ -196,6 +196,25 @@
         return sum(took) // len(took)
 
 
+class Shares:
+    """Which queries are beyond their party's share of the service; each sidecar has an even part of it."""
+
+    SOME, SPAN = 8, 2 * SECOND  # saved up: so few are chance, and traffic is uneven over such a time
+
+    def __init__(self, now: int, quotas: Sequence[float], sidecars: int) -> None:
+        self.rates = [quota / sidecars for quota in quotas]  # a second
+        self.left = [(now, self.SOME + rate * self.SPAN / SECOND) for rate in self.rates]
+
+    def beyond(self, now: int, party: int, again: bool) -> int:
+        """How long until its share allows one more, 0 if it does; a client's retry is not one more."""
+        if not 0 <= party < len(self.rates) or (rate := self.rates[party]) <= 0:
+            return 0
+        at, left = self.left[party]
+        left = min(self.SOME + rate * self.SPAN / SECOND, left + rate * (now - at) / SECOND)
+        self.left[party] = (now, left - (left >= 1 and not again))
+        return max(0, int((1 - left) / rate * SECOND))
+
+
 class ColdBudget:
     """Guards against all sidecars together pushing a cold upstream over, with no word between them."""
 
@@ -396,6 +415,7 @@
     room: int  # how long an answer may be expected to take
     stop: int  # after this time nothing may be said
     agreed: int
+    beyond: int = 0  # how long until its party's share allows it
     asked: dict[int, list[Upstream]] = field(default_factory=dict)  # by zone: the candidates probed for it
     asks_until: int = 0  # no longer than this does it wait for them
     sent: list[tuple[Upstream, int]] = field(default_factory=list)  # each dispatch: where and when
@@ -457,6 +477,7 @@
     SURPLUS = 0.5  # of the shortest agreed time, more by a crossing's price: home over it lets a query cross
     LATE, UNSURE = 0.9, 0.18  # of the shortest agreed time before a bounce: less where sidecars are many
     YIELD, LEAST = 0.15, 0.6  # less of it for each better earning offering, which is left that much room
+    BEYOND = 0.5  # at most, for what is beyond its party's share: it earns little, and does not cross
     UNHEARD = 0.25  # of the shortest agreed time: what an answer is taken to need before any was seen
     DRAWS = 3  # pairs drawn in each of the first two zones: one odd pair is no full zone
     ASKED = 2  # zones whose candidates are probed for one query: a surplus may cross, not search
@@ -468,7 +489,7 @@
 
     def __init__(
         self, now: int, seed: int, place: Place, offerings: Sequence[Offering], cold: ColdRule,
-        permits: Permits,
+        permits: Permits, quotas: Sequence[float] = (),
     ) -> None:  # fmt: skip
         chance = Random(seed)
         self.spread = chance.uniform
@@ -478,6 +499,7 @@
         self.answers = Answers(now, place.zones, int(self.shortest * self.UNHEARD))
         self.health, self.group = Health(chance), Group(place, chance)
         self.pick = Pick(chance, self.answers.kind_paces)
+        self.shares = Shares(now, quotas, place.sidecars)
         self.ledger, self.lines = Ledger(permits.dispatches), Lines()
         self.offerings, self.permits, self.growth = offerings, permits, place.sidecars**0.5
         ranks = [sum(p.earnings > o.earnings for p in offerings) for o in offerings]
@@ -500,10 +522,15 @@
         self.follow_pause = min(2 * self.follow_pause, self.FOLLOW_MOST)
         self.look_at = min(self.look_at, self.follow_at)
 
-    def take(self, now: int, number: int, offering: int, remaining: int, waited: int = 0) -> None:
+    def take(
+        self, now: int, number: int, offering: int, remaining: int, waited: int = 0, party: int = -1,
+        again: bool = False,
+    ) -> None:  # fmt: skip
         terms, room = self.offerings[offering], self.rooms[offering] - waited  # its answer will wait as long
+        if beyond := self.shares.beyond(now, party, again):
+            room = min(room, int(terms.agreed * self.BEYOND))
         agreed = now - waited + min(remaining, terms.agreed)
-        self.lines.add(Query(number, terms, room, now - waited + remaining, agreed))
+        self.lines.add(Query(number, terms, room, now - waited + remaining, agreed, beyond))
         self.ledger.queries[number] = self.lines.first[-1]
         self.answers.taken.append(now)
 
@@ -644,7 +671,7 @@
             return None
         limit = min(query.room, query.agreed - now)
         if chosen is None or (expected > limit and not query.suspects and self.ledger.may_bounce(query)):
-            return self.answer(now, query, expected - limit)
+            return self.answer(now, query, max(expected - limit, query.beyond))
         return self.dispatch(now, query, chosen)
 
     def choose(self, now: int, query: Query) -> tuple[Upstream | None, int]:
@@ -656,6 +683,8 @@
             self.answers.settle(now)
         best, soonest, typical = None, 0, self.answers.typical
         for place, zone in enumerate(self.group.zones(now)):
+            if query.beyond and place and best is not None:
+                break
             ready, fed = self.candidates(now, query, zone)
             pair = (not query.sent and query.asked.get(zone)) or self.pick.pair(ready, fed)
             pace = self.answers.pace(now, zone, self.roster.zones[zone])
--- a/maddercart/messages/config.py
+++ b/maddercart/messages/config.py
@@ -38,6 +38,12 @@
     hard_stop: float = 0.0
 
 
+class Party(Struct, frozen=True):
+    """A tenant; what it sends beyond its quota, over all sidecars, earns little. 0: no quota is told."""
+
+    quota_per_s: float = 0.0
+
+
 class Rules(Struct, frozen=True):
     cold_from: float
     ramp_time: float
@@ -60,6 +66,7 @@
     zone: int = 0
     zones: list[str] = []
     kinds: list[str] = []
+    parties: list[Party] = []
 
 
 class MachineLimits(Struct, frozen=True):
--- a/maddercart/translation.py
+++ b/maddercart/translation.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from maddercart import interface as i
-from maddercart.messages.config import OfferingTerms, Settings
+from maddercart.messages.config import OfferingTerms, Party, Settings
 
 EFFECTS = {"free": i.REDOABLE, "guarded": i.LABELLED, "single_shot": i.IRREVERSIBLE}
 WEIGHTS = {"none": 0, "nominal": 1, "rough": 2, "live": 3}  # what the list's figure for an upstream is
@@ -27,6 +27,12 @@
     return table[word]
 
 
+def quota(at: str, party: Party) -> float:
+    if not 0 <= party.quota_per_s < float("inf"):
+        raise SettingsError(f"setting {at}quota_per_s is no rate: {party.quota_per_s!r}")
+    return party.quota_per_s
+
+
 def offering(at: str, terms: OfferingTerms) -> i.Offering:
     return i.Offering(
         effect=one_of(at + "semantics", EFFECTS, terms.semantics),
@@ -56,6 +62,7 @@
             multiple=rules.fall_multiple,
             window=nanos("rules.overload_for", rules.overload_for),
         ),
+        "quotas": [quota(f"parties.{n}.", party) for n, party in enumerate(settings.parties)],
         "permits": i.Permits(
             dispatches=limits.most_dispatches,
             cancel=limits.cancel,
--- a/maddercart/wirehost/frames.py
+++ b/maddercart/wirehost/frames.py
@@ -16,6 +16,7 @@
 COMPLETED_BODY = Struct("<6xIIdBBBB4f")
 INVENTORY_BODY = Struct("<2xBII")
 DEMAND_BODY = Struct("<6xIddBHIQ")
+REPEATED = 2  # of a demand's marks
 VANISHED_BODY = Struct("<6xI")
 HEALTH_RESULT_BODY = Struct("<6xIBdB4f")
 
--- a/maddercart/wirehost/host.py
+++ b/maddercart/wirehost/host.py
@@ -85,8 +85,9 @@
                 now, query, upstream, number, round(duration * SECOND), outcome, ended != 0, report
             )
         elif code == f.DEMAND:
-            query, _, remaining, offering, *_ = f.DEMAND_BODY.unpack_from(body, at)
-            balancer.take(now, query, offering, round(remaining * SECOND))
+            query, _, remaining, offering, marks, party, _ = f.DEMAND_BODY.unpack_from(body, at)
+            again = marks & f.REPEATED != 0
+            balancer.take(now, query, offering, round(remaining * SECOND), 0, party, again)
         elif code == f.TIMEOUT_FIRED:
             balancer.woken(now)
         elif code == f.HEALTH_RESULT:
--- a/maddercart/wirehost/settings.py
+++ b/maddercart/wirehost/settings.py
@@ -8,7 +8,7 @@
 from maddercart.translation import SettingsError
 
 REPORT_FIELDS = {"active": 0, "waiting": 1, "avg_ms": 2, "rps": 3}
-LISTS = frozenset({"zones", "kinds", "fields"})  # of plain values, which stand in one line
+LISTS = frozenset({"zones", "kinds", "fields", "parties"})  # in one line: of plain values, or with none
 
 
 def read_settings(text: str) -> Settings:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -481,3 +481,34 @@
         roster.sort(0)
         held += sum(known.size > 1 for known in roster.members(0, 0, [0], False))
     assert held / 180 > 0.65
+
+
+def test_what_a_party_sends_beyond_its_share_yields_to_the_others() -> None:
+    """One workspace sent five times its share, and the others' queries were late and bounced with its own."""
+    host = Host([entry(0), entry(1, 1)], sidecars=3, quotas=[6.0, 6.0])
+    balancer = host.balancer
+    for known in balancer.roster.by_id.values():  # in time, but by no more than a third
+        known.samples.extend((host.now, 250 * MS, 0) for _ in range(8))
+    kept = balancer.shares.SOME + 2 * 2  # two a second are this sidecar's part, and two seconds are saved up
+    made = []
+    for number in range(kept + 1):
+        balancer.take(host.now, number, 0, i.SECOND, 0, 0)
+        made.append(verbs(host.pull())[0])
+        balancer.left(host.now, number)
+        for query, shot in list(host.out):
+            host.end(query, shot, i.CANCELLED, True)
+    assert made == ["dispatch"] * kept + ["bounce"]
+    balancer.take(host.now, 100, 0, i.SECOND, 0, 1)
+    assert verbs(host.pull())[0] == "dispatch", "another party is not held to it"
+    balancer.take(host.now, 101, 0, i.SECOND, 0, 0, True)
+    verb, _, after = host.pull()[0]
+    assert verb == "bounce" and int(after) > 300 * MS, "to come back when the share allows one more"
+    host.now += i.SECOND
+    balancer.take(host.now, 102, 0, i.SECOND, 0, 0)
+    assert verbs(host.pull())[0] == "dispatch"
+
+
+@pytest.mark.parametrize("party", [-1, 0, 1, 7])
+def test_without_a_quota_nothing_is_beyond_it(party: int) -> None:
+    host = Host([entry(0)], zones=1, quotas=[0.0])
+    assert not any(host.balancer.shares.beyond(host.now, party, False) for _ in range(99))
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -285,6 +285,7 @@
 
 def test_the_wires_settings_become_the_arguments_of_a_balancer() -> None:
     made = balancer_arguments(read_settings(TEXT))
+    assert balancer_arguments(read_settings(TEXT + "parties=\n")) == made, "no parties are an empty line"
     assert made["offerings"] == [i.Offering(i.LABELLED, i.EVERYWHERE, 0, 800 * i.MILLISECOND, 1.0, 0.0)]
     assert made["place"] == i.Place(0, 1, 0, 2) and made["cold"].ramp == 24 * i.SECOND
     assert made["permits"].cancel and made["permits"].follow and not made["permits"].probes
