--- a/maddercart/logic.py
+++ b/maddercart/logic.py
@@ -58,16 +58,13 @@
     def lives(self, now: int) -> bool:  # it has answered, or the list tells that it holds something
         return self.heard(now) or (self.crowd > 0 and self.shares[-1] * self.most > 1)
 
-    def reported(self, now: int, typical: int, usual: float = 0.0) -> int:
-        """By its report, while that is fresh; else by what the list tells that it and the others hold."""
+    def reported(self, now: int, typical: int) -> int:  # by its report, while that is fresh
         if self.report is None or now - self.report[0] >= self.HEARD:
-            return int(typical * self.crowd / usual) if usual else 0
+            return 0
         held = max(self.report[1].held + 1, self.report[1].waiting + self.size)
         return int(typical * max(1.0, held / self.size))
 
-    def expected(
-        self, now: int, typical: int, pace: int, growth: float, fresh: int, usual: float = 0.0
-    ) -> int:
+    def expected(self, now: int, typical: int, pace: int, growth: float, fresh: int) -> int:
         """How long one more query would take here: by the last few answers while they are fresh, else as long
         as its zone lately took. The others' loads move as ours does, each on its own: `growth` is a root."""
         out, fade, here = len(self.out), 0.0, 0.0
@@ -81,7 +78,7 @@
             here = max(base + growth * (out - then) * each, each)  # a queue that has gone turns none away
         else:
             pace += int(max(0.0, (growth * out + 1) / self.size - 1) * typical)
-        estimate = fade * here + (1 - fade) * max(pace, self.reported(now, typical, usual))
+        estimate = fade * here + (1 - fade) * max(pace, self.reported(now, typical))
         return int(max(estimate, now - next(iter(self.out.values()))[0] if self.out else 0))
 
 
@@ -96,7 +93,6 @@
 
     def __init__(self, place: Place, cold: ColdRule, moving: bool) -> None:
         self.number, self.ramp, self.window, self.moving = place.number, cold.ramp, cold.window, moving
-        self.usual = 0.0  # the mean of what the ready ones hold a core, and one more, where that is told
         self.by_id: dict[int, Upstream] = {}
         self.zones: list[list[Upstream]] = [[] for _ in range(place.zones)]  # those ready, by rank
         self.usable = self.cold = self.zones  # of these the warm ones and the cold ones, none ejected
@@ -138,7 +134,6 @@
         for known in ready:
             known.size = sizes[known.entry.kind]
             known.crowd = max(1.0, known.size * sum(known.shares) / len(known.shares))
-        self.usual = sum(known.crowd for known in ready) / max(1, len(ready))
 
     def sort(self, now: int) -> None:  # due after a change of the list, an ejection, a return, warmth
         well = [[known for known in zone if not known.canary_due] for zone in self.zones]
@@ -477,7 +472,7 @@
     SURPLUS = 0.5  # of the shortest agreed time, more by a crossing's price: home over it lets a query cross
     LATE, UNSURE = 0.9, 0.18  # of the shortest agreed time before a bounce: less where sidecars are many
     YIELD, LEAST = 0.15, 0.6  # less of it for each better earning offering, which is left that much room
-    BEYOND = 0.5  # at most, for what is beyond its party's share: it earns little, and does not cross
+    BEYOND = 0.35  # at most, for what is beyond its party's share: it earns little, and does not cross
     UNHEARD = 0.25  # of the shortest agreed time: what an answer is taken to need before any was seen
     DRAWS = 3  # pairs drawn in each of the first two zones: one odd pair is no full zone
     ASKED = 2  # zones whose candidates are probed for one query: a surplus may cross, not search
@@ -699,7 +694,7 @@
                 if not (pair := pair or self.pick.pair(ready, [])):
                     break
                 chosen = self.pick.better(now, pair, ready, pair[0] in fed)
-                expected = chosen.expected(now, typical, pace, self.growth, fresh, self.roster.usual)
+                expected = chosen.expected(now, typical, pace, self.growth, fresh)
                 if chosen in fed:
                     expected = int(self.work() / self.cold.share(now, chosen))
                 if expected <= enough:
