--- a/maddercart/interface.py
+++ b/maddercart/interface.py
@@ -21,6 +21,13 @@
     probed(now, upstream, ok, duration, report)   how a probe ended
     woken(now)                      a time that was asked for has come
 
+    renew(now, place, offerings, cold, permits, zones, kinds, quotas)   other settings from now on, whose
+                                    zones and kinds have other numbers: `zones` and `kinds` tell for each
+                                    former one what it is now, -1 if there is none. Queries that are held
+                                    keep the terms they were taken under; what is known of upstreams (drains,
+                                    budgets, ejections, dispatches out) stays. All that the host calls by such
+                                    a number it changes in the same turn
+
 Decisions out: plain tuples, verb first
     ("dispatch", query, upstream, limit)   send it; after `limit` (0: at the hard stop) it has timed out
     ("cancel", query, number)              stop waiting for a dispatch
--- a/maddercart/logic.py
+++ b/maddercart/logic.py
@@ -5,10 +5,9 @@
 
  1. surplus      a query crosses zones only while its own zone cannot answer in time and another can
  2. early bounce a query is turned away when no upstream that may get it can answer it in time
- 3. asking       the two candidates of a pick of which nothing fresh is known are probed first
- 4. paces        the two are drawn by what their kind of machine lately took, and weighed by what they took
- 5. own set      a sidecar uses those upstreams that rank highest in a hash of its number and theirs
- 6. cold ring    a cold upstream is fed by as many sidecars on the ring as it can bear, a query each
+ 3. paces        the two are drawn by what their kind of machine lately took, and weighed by what they took
+ 4. own set      a sidecar uses those upstreams that rank highest in a hash of its number and theirs
+ 5. cold ring    a cold upstream is fed by as many sidecars on the ring as it can bear, a query each
 """
 
 from collections import defaultdict, deque
@@ -19,11 +18,17 @@
 from random import Random
 
 from maddercart.interface import (
-    CANCELLED, DONE, EVERYWHERE, GONE, LABELLED, MILLISECOND, MOOT, NEVER_RAN, READY, REDOABLE, RESET,
-    SAME_ZONE, SECOND, TIMED_OUT, UNREACHABLE, ColdRule, Decision, Entry, Offering, Permits, Place, Report,
+    CANCELLED, DONE, EVERYWHERE, GONE, IRREVERSIBLE, LABELLED, MILLISECOND, MOOT, NEVER_RAN, READY, REDOABLE,
+    RESET, SAME_ZONE, SECOND, TIMED_OUT, UNREACHABLE, ColdRule, Decision, Entry, Offering, Permits, Place,
+    Report,
 )  # fmt: skip
 
 
+def rank(sidecar: int, upstream: int) -> float:
+    """Over an upstream's size: the less, the sooner it is in a sidecar's set."""
+    return -log((mix(sidecar, upstream) + 0.5) / (1 << 32))
+
+
 def mix(one: int, two: int) -> int:
     """A stable hash of two numbers, the same at every sidecar."""
     mixed = (one * 0x9E3779B1 + two * 0x85EBCA6B + 0x27D4EB2F) & 0xFFFFFFFF
@@ -40,11 +45,11 @@
     TOLD = 4  # a list a second: the last figure alone tells nothing of the next answer, more are too old
     HEARD = SECOND // 2  # an older report tells of a queue that has turned: who was heard is not probed
 
-    def __init__(self, entry: Entry, hash: float, out: dict[tuple[int, int], tuple[int, int]]) -> None:
-        self.entry, self.size, self.warm_at = entry, 1.0, 0
+    def __init__(self, entry: Entry, out: dict[tuple[int, int], tuple[int, int]]) -> None:
+        self.entry, self.size, self.told, self.warm_at, self.spent_until = entry, 1.0, 1.0, 0, 0
         self.shares: deque[float] = deque(maxlen=self.TOLD)  # 1 over the list's last figures of it
         self.most = self.crowd = 0.0  # the figure when it was idle; held a core, and one more
-        self.hash, self.out = hash, out  # its place in our set; dispatch: when sent, how many were out
+        self.out = out  # dispatch: when sent, how many were out
         self.samples: deque[tuple[int, int, int]] = deque(maxlen=self.SAMPLES)  # end, duration, out then
         self.sent_cold: deque[int] = deque()  # when it was sent each of the last queries while cold
         self.report: tuple[int, Report] | None = None  # when heard
@@ -55,6 +60,11 @@
         answered = bool(self.samples) and now - self.samples[-1][0] < self.HEARD
         return answered or (self.report is not None and now - self.report[0] < self.HEARD)
 
+    def renumber(self, zones: Sequence[int], kinds: Sequence[int]) -> None:  # -1: there is none any more
+        zone, kind = self.entry.zone, self.entry.kind
+        zone = zones[zone] if 0 <= zone < len(zones) else -1
+        self.entry = self.entry._replace(zone=zone, kind=kinds[kind] if kind < len(kinds) else kind)
+
     def lives(self, now: int) -> bool:  # it has answered, or the list tells that it holds something
         return self.heard(now) or (self.crowd > 0 and self.shares[-1] * self.most > 1)
 
@@ -92,8 +102,11 @@
     HUGE = 1e6  # a size beyond any machine's: such a figure, or none, counts as 1
 
     def __init__(self, place: Place, cold: ColdRule, moving: bool) -> None:
-        self.number, self.ramp, self.window, self.moving = place.number, cold.ramp, cold.window, moving
         self.by_id: dict[int, Upstream] = {}
+        self.place(place, cold, moving)
+
+    def place(self, place: Place, cold: ColdRule, moving: bool) -> None:
+        self.number, self.ramp, self.window, self.moving = place.number, cold.ramp, cold.window, moving
         self.zones: list[list[Upstream]] = [[] for _ in range(place.zones)]  # those ready, by rank
         self.usable = self.cold = self.zones  # of these the warm ones and the cold ones, none ejected
         self.sort_at = 0  # when the next one is warm
@@ -108,19 +121,28 @@
             known = self.by_id.get(entry.upstream)
             if known is None or entry.launched > known.entry.launched:
                 out = known.out if known else {}  # it restarted: all else was of another process
-                hash = -log((mix(self.number, entry.upstream) + 0.5) / (1 << 32))
-                known = self.by_id[entry.upstream] = Upstream(entry, hash, out)
+                known = self.by_id[entry.upstream] = Upstream(entry, out)
                 known.warm_at = entry.launched + self.ramp if entry.launched else 0
-            known.entry, known.size = entry, known.size if self.moving else max(1.0, size)
-            known.most = max(known.most, size)
+            known.entry, known.told, known.most = entry, size, max(known.most, size)
             known.shares.append(1 / size)
         for number, known in list(self.by_id.items()):
             if known.entry.condition == GONE and not known.out and now >= known.warm_at + self.window:
                 del self.by_id[number]
+        self.arrange()
+
+    def renumber(self, now: int, zones: Sequence[int], kinds: Sequence[int]) -> None:
+        """What was told stays told, by the new numbers; what is in no zone any more gets nothing new."""
+        for known in self.by_id.values():
+            known.renumber(zones, kinds)
+            was, known.warm_at = known.warm_at, known.entry.launched and known.entry.launched + self.ramp
+            if was <= now < known.warm_at:  # what it was sent meanwhile was not counted
+                known.spent_until = now + self.window
+        self.arrange()
+
+    def arrange(self) -> None:
         ready = [known for known in self.by_id.values() if known.entry.condition == READY]
-        if self.moving:
-            self.weigh(ready)
-        ready.sort(key=lambda known: known.size / known.hash, reverse=True)
+        self.weigh(ready)
+        ready.sort(key=lambda known: known.size / rank(self.number, known.entry.upstream), reverse=True)
         self.zones = [[k for k in ready if k.entry.zone == zone] for zone in range(len(self.zones))]
         self.sort_at = 0
 
@@ -130,6 +152,9 @@
         most: dict[int, list[float]] = defaultdict(list)
         for known in ready:
             most[known.entry.kind].append(known.most)
+            known.size, known.crowd = max(1.0, known.told), 0.0
+        if not self.moving:
+            return
         sizes = {kind: sorted(those)[3 * (len(those) - 1) // 4] for kind, those in most.items()}
         for known in ready:
             known.size = sizes[known.entry.kind]
@@ -153,15 +178,15 @@
     FRESH = 12 * SECOND  # a sample fades as long: with little traffic an old one is better than none
     SPANS = 8  # of the last queries: with much traffic it fades as fast as some hundreds of them come
 
-    def __init__(self, now: int, zones: int, unheard: int) -> None:
+    def __init__(self, now: int, unheard: int, taken: deque[int]) -> None:
         self.unheard = self.typical = self.quarter = unheard  # the middle one of the last; the lower quarter
         self.settled = now
-        self.taken = deque([now - self.FRESH] * 32, maxlen=32)  # when the last queries came: our own rate
+        self.taken = taken  # when the last queries came: our own rate
         self.durations: deque[tuple[int, int]] = deque(maxlen=32)  # the last answers: end, duration
         # By machine kind: how long the last took, and their mean, which is what candidates are drawn by.
         self.kinds: dict[int, deque[int]] = defaultdict(lambda: deque([unheard] * 4, maxlen=16))
         self.kind_paces: dict[int, float] = defaultdict(lambda: unheard + 1.0)
-        self.last: list[deque[tuple[int, int]]] = [deque(maxlen=16) for _ in range(zones)]  # by zone
+        self.last: dict[int, deque[tuple[int, int]]] = defaultdict(lambda: deque(maxlen=16))  # by zone
 
     def fresh(self, now: int) -> int:
         return max(1, min(self.FRESH, self.SPANS * (now - self.taken[0])))
@@ -227,6 +252,8 @@
         hash of its id on: whoever carries the most traffic, the parts add up to no more."""
         if now - self.cold.window >= known.warm_at:
             return True
+        if now < known.spent_until:
+            return False
         share = self.share(now - self.cold.window, known) * self.cold.multiple
         queries = int(share * known.size * self.cold.window / (work * self.HEAVY))
         place = (self.number - mix(known.entry.upstream, 0)) % self.sidecars
@@ -284,8 +311,7 @@
 
     def __init__(self, place: Place, chance: Random) -> None:
         self.spread, self.draw = chance.uniform, chance.random
-        self.order = sorted(range(place.zones), key=lambda z: (z != place.zone, mix(place.number, z)))
-        self.home, self.backups = self.order[:1], self.order[1:]
+        self.place(place)
         self.state, self.serving = PRIMARY, place.zone  # serving: the backup that is asked or stands in
         self.told = PRIMARY  # the state last noted: a canary changes it between two steps
         self.failed: deque[int] = deque(maxlen=self.FAILURES)  # times of the failures in a row
@@ -293,6 +319,18 @@
         self.canary_zone: int | None = None
         self.canary_sent, self.canary_until = False, 0
 
+    def place(self, place: Place) -> None:
+        self.order = sorted(range(place.zones), key=lambda z: (z != place.zone, mix(place.number, z)))
+        self.home, self.backups = self.order[:1], self.order[1:]
+
+    def renew(self, now: int, place: Place, zones: Sequence[int]) -> None:
+        """A state that rests on a zone that there is no more, or that is home now, is over."""
+        away, self.canary_zone = self.serving, None
+        self.place(place)
+        self.serving = zones[away] if away < len(zones) and zones[away] >= 0 else place.zone
+        if self.state != PRIMARY and self.serving == place.zone:
+            self.enter_primary(now - self.RISE)
+
     def lay(self, zones: Sequence[Sequence[Upstream]]) -> None:  # ours, and the next while it is small
         part, count = sum(map(len, zones)) // len(zones), 1
         while sum(len(zones[zone]) for zone in self.order[:count]) < part:
@@ -367,8 +405,8 @@
 
     AGE = 2 * SECOND  # a report counts in full when new and not at all from this age on
 
-    def __init__(self, chance: Random, kind_paces: dict[int, float]) -> None:
-        self.draw, self.choices, self.kind_paces = chance.random, chance.choices, kind_paces
+    def __init__(self, chance: Random) -> None:
+        self.draw, self.choices, self.kind_paces = chance.random, chance.choices, dict[int, float]()
 
     def load(self, now: int, known: Upstream, others: Sequence[Upstream] = ()) -> float:
         if known.report is None and not known.crowd:  # what was never heard of takes the others' mean
@@ -410,9 +448,8 @@
     room: int  # how long an answer may be expected to take
     stop: int  # after this time nothing may be said
     agreed: int
+    most: int  # dispatches, as was allowed when it was taken
     beyond: int = 0  # how long until its party's share allows it
-    asked: dict[int, list[Upstream]] = field(default_factory=dict)  # by zone: the candidates probed for it
-    asks_until: int = 0  # no longer than this does it wait for them
     sent: list[tuple[Upstream, int]] = field(default_factory=list)  # each dispatch: where and when
     out: set[int] = field(default_factory=set)  # numbers of the dispatches without an outcome
     suspects: set[int] = field(default_factory=set)  # those that ended and may have run
@@ -423,15 +460,14 @@
 class Ledger:
     """Keeps the promises made with each offering."""
 
-    def __init__(self, dispatches: int) -> None:
-        self.dispatches = dispatches
+    def __init__(self) -> None:
         self.queries: dict[int, Query] = {}
 
     def may_send(self, now: int, query: Query) -> bool:  # only ever one is out
         return not query.out and self.may_repeat(now, query, query.suspects)
 
     def may_repeat(self, now: int, query: Query, suspects: set[int]) -> bool:  # if these may have run
-        if query.ended or now >= query.stop or len(query.sent) >= self.dispatches:
+        if query.ended or now >= query.stop or len(query.sent) >= query.most:
             return False
         if suspects and query.terms.effect == LABELLED:
             return now - query.sent[min(suspects)][1] < query.terms.window
@@ -452,10 +488,10 @@
 
 
 class Lines:
-    """Queries to be placed: first dispatches, then further ones; those that wait for a probe stand apart."""
+    """Queries to be placed: first dispatches, then further ones."""
 
     def __init__(self) -> None:
-        self.first, self.further, self.waiting = deque[Query](), deque[Query](), deque[Query]()
+        self.first, self.further = deque[Query](), deque[Query]()
 
     def add(self, query: Query) -> None:
         (self.further if query.sent else self.first).append(query)
@@ -463,10 +499,6 @@
     def next(self) -> Query | None:
         return line.popleft() if (line := self.first or self.further) else None
 
-    def stir(self) -> None:  # a probe's answer is in, or overdue
-        while self.waiting:
-            self.add(self.waiting.popleft())
-
 
 class Balancer:
     SURPLUS = 0.5  # of the shortest agreed time, more by a crossing's price: home over it lets a query cross
@@ -475,8 +507,6 @@
     BEYOND = 0.35  # at most, for what is beyond its party's share: it earns little, and does not cross
     UNHEARD = 0.25  # of the shortest agreed time: what an answer is taken to need before any was seen
     DRAWS = 3  # pairs drawn in each of the first two zones: one odd pair is no full zone
-    ASKED = 2  # zones whose candidates are probed for one query: a surplus may cross, not search
-    PROBE_WAIT = 30 * MILLISECOND  # for a probe's answer: well above a round trip, well under an agreed time
     FOLLOW_FIRST, FOLLOW_MOST = SECOND // 2, 8 * SECOND  # pauses after failed calls to the list
     AFTER = 40 * MILLISECOND  # the least time to come back after: no queue turns sooner
     TICK = 20 * MILLISECOND  # the group's state is not looked at again sooner than this
@@ -488,22 +518,48 @@
     ) -> None:  # fmt: skip
         chance = Random(seed)
         self.spread = chance.uniform
-        self.shortest = min((o.agreed for o in offerings), default=SECOND)
-        self.roster, self.cold = Roster(place, cold, permits.moving), ColdBudget(cold, place)
-        self.asks = permits.probes and not permits.moving  # a list that tells loads leaves nothing to ask
-        self.answers = Answers(now, place.zones, int(self.shortest * self.UNHEARD))
+        self.roster, self.ledger, self.lines = Roster(place, cold, permits.moving), Ledger(), Lines()
         self.health, self.group = Health(chance), Group(place, chance)
-        self.pick = Pick(chance, self.answers.kind_paces)
-        self.shares = Shares(now, quotas, place.sidecars)
-        self.ledger, self.lines = Ledger(permits.dispatches), Lines()
+        self.pick, self.taken = Pick(chance), deque([now - Answers.FRESH] * 32, maxlen=32)
+        self.said: deque[Decision] = deque()
+        self.look_at, self.wake_at = now, self.NEVER  # when there is something to do; the timer that is out
+        self.follow_at, self.follow_pause = now if permits.follow else self.NEVER, self.FOLLOW_FIRST
+        self.set(now, place, offerings, cold, permits, quotas)
+
+    def set(
+        self, now: int, place: Place, offerings: Sequence[Offering], cold: ColdRule, permits: Permits,
+        quotas: Sequence[float],
+    ) -> None:  # fmt: skip
+        self.shortest = min((o.agreed for o in offerings), default=SECOND)
+        self.cold, self.shares = ColdBudget(cold, place), Shares(now, quotas, place.sidecars)
+        # A canary's effect: where none is redoable a labelled one, or an ejected upstream had no way back.
+        self.tried = min((o.effect for o in offerings if o.effect != IRREVERSIBLE), default=REDOABLE)
+        self.answers = Answers(now, int(self.shortest * self.UNHEARD), self.taken)
+        self.pick.kind_paces = self.answers.kind_paces
         self.offerings, self.permits, self.growth = offerings, permits, place.sidecars**0.5
         ranks = [sum(p.earnings > o.earnings for p in offerings) for o in offerings]
         late = self.LATE - self.UNSURE * (1 - 1 / self.growth) ** 2
         shares = [max(late - self.YIELD * rank, self.LEAST) for rank in ranks]
         self.rooms = [int(o.agreed * share) for o, share in zip(offerings, shares, strict=True)]
-        self.said: deque[Decision] = deque()
-        self.look_at, self.wake_at = now, self.NEVER  # when there is something to do; the timer that is out
-        self.follow_at, self.follow_pause = now if permits.follow else self.NEVER, self.FOLLOW_FIRST
+
+    def renew(
+        self, now: int, place: Place, offerings: Sequence[Offering], cold: ColdRule, permits: Permits,
+        zones: Sequence[int], kinds: Sequence[int], quotas: Sequence[float] = (),
+    ) -> None:  # fmt: skip
+        """Held queries keep their terms. Where they were sent is renumbered too, also what has gone since: by
+        an old number a labelled one would be repeated outside the group that drops its repeats."""
+        if permits.follow != self.permits.follow:
+            self.follow_at = now if permits.follow else self.NEVER
+        sent = {id(known): known for q in self.ledger.queries.values() for known, _ in q.sent}
+        for known in sent.values():
+            if self.roster.by_id.get(known.entry.upstream) is not known:
+                known.renumber(zones, kinds)
+        self.set(now, place, offerings, cold, permits, quotas)
+        self.roster.place(place, cold, permits.moving)
+        self.roster.renumber(now, zones, kinds)
+        self.group.renew(now, place, zones)
+        self.group.lay(self.roster.zones)
+        self.look_at = now
 
     def learn(self, now: int, entries: Sequence[Entry], whole: bool) -> None:
         self.roster.learn(now, entries, whole)
@@ -525,9 +581,10 @@
         if beyond := self.shares.beyond(now, party, again):
             room = min(room, int(terms.agreed * self.BEYOND))
         agreed = now - waited + min(remaining, terms.agreed)
-        self.lines.add(Query(number, terms, room, now - waited + remaining, agreed, beyond))
+        most, stop = self.permits.dispatches, now - waited + remaining
+        self.lines.add(Query(number, terms, room, stop, agreed, most, beyond))
         self.ledger.queries[number] = self.lines.first[-1]
-        self.answers.taken.append(now)
+        self.taken.append(now)
 
     def outcome(
         self, now: int, number: int, upstream: int, shot: int, duration: int, outcome: int, ended: bool,
@@ -614,8 +671,8 @@
         if self.look_at <= now:
             self.look(now)
         while not self.said and (query := self.lines.next()) is not None:
-            if not query.ended and (decision := self.place(now, query)) is not None:
-                return decision
+            if not query.ended:
+                return self.place(now, query)
         if self.said:
             return self.said.popleft()
         if self.look_at >= self.wake_at:
@@ -624,7 +681,6 @@
         return ("wake", self.wake_at - now)
 
     def look(self, now: int) -> None:  # what is due by the clock
-        self.lines.stir()
         if now >= self.follow_at:
             self.follow_at = self.NEVER
             self.said.append(("follow",))
@@ -652,18 +708,14 @@
                 return known
         return None
 
-    def place(self, now: int, query: Query) -> Decision | None:  # None: it waits for a probe
+    def place(self, now: int, query: Query) -> Decision:
         if not self.ledger.may_send(now, query):
             return self.answer(now, query, 0)
-        free = query.terms.effect == REDOABLE and not (self.permits.probes or query.sent)
+        free = query.terms.effect == self.tried and not (self.permits.probes or query.sent)
         if free and (canary := self.next_canary(now)) is not None:
             query.canary = True
             return self.dispatch(now, query, canary)
-        chosen, expected = (None, 0) if self.asking(now, query) else self.choose(now, query)
-        if self.asking(now, query):
-            self.lines.waiting.append(query)
-            self.look_at = min(self.look_at, query.asks_until)
-            return None
+        chosen, expected = self.choose(now, query)
         limit = min(query.room, query.agreed - now)
         if chosen is None or (expected > limit and not query.suspects and self.ledger.may_bounce(query)):
             return self.answer(now, query, max(expected - limit, query.beyond))
@@ -681,15 +733,7 @@
             if query.beyond and place and best is not None:
                 break
             ready, fed = self.candidates(now, query, zone)
-            pair = (not query.sent and query.asked.get(zone)) or self.pick.pair(ready, fed)
-            pace = self.answers.pace(now, zone, self.roster.zones[zone])
-            if self.asks and not query.sent:
-                if zone not in query.asked and not all(known.heard(now) for known in pair):
-                    if self.ask(now, query, zone, pair):
-                        return None, 0
-                    continue
-                pair = [known for known in pair if not known.probe_out and (known in ready or known in fed)]
-                pace = max(pace, min([known.reported(now, typical) for known in pair], default=0))
+            pair, pace = self.pick.pair(ready, fed), self.answers.pace(now, zone, self.roster.zones[zone])
             for _ in range(self.DRAWS if place < 2 else 1):
                 if not (pair := pair or self.pick.pair(ready, [])):
                     break
@@ -718,19 +762,6 @@
     def work(self) -> int:  # of a query with no wait: the lower quarter of the last answers, a guess at most
         return max(1, min(self.answers.quarter, self.answers.unheard))
 
-    def asking(self, now: int, query: Query) -> bool:
-        return now < query.asks_until and any(known.probe_out for known in chain(*query.asked.values()))
-
-    def ask(self, now: int, query: Query, zone: int, pair: list[Upstream]) -> bool:
-        """Has the candidates probed of which nothing is known lately; False if it has asked enough zones."""
-        if len(query.asked) == self.ASKED:
-            return False
-        wait = min(self.PROBE_WAIT, (query.agreed - now) // 2)  # a short try was kept past its hard stop
-        query.asked[zone], query.asks_until = pair, now + wait
-        for known in [known for known in pair if not (known.probe_out or known.heard(now))]:
-            self.probe(known)
-        return True
-
     def probe(self, known: Upstream) -> None:
         known.probe_out = True
         self.said.append(("probe", known.entry.upstream))
--- a/maddercart/sidecar/configuration.py
+++ b/maddercart/sidecar/configuration.py
@@ -1,18 +1,25 @@
 """Whether a configuration can be used, at the start and again while serving."""
 
 from pathlib import Path
+from typing import Any
 
 from maddercart.interface import Permits
 from maddercart.messages.config import Config, read_config
 from maddercart.net.sockets import address
-from maddercart.translation import balancer_arguments
+from maddercart.translation import SettingsError, balancer_arguments, nanos
 
 
-def arguments(config: Config) -> dict[str, object]:
-    """Raises `SettingsError`. On sockets the list comes only when asked for, and there is no probe."""
+def arguments(config: Config) -> dict[str, Any]:
+    """Raises `SettingsError`. On sockets, whatever the settings allow, the list comes only when asked for, no
+    probe exists, and a connection carries one query at a time."""
     made = balancer_arguments(config.settings)
+    for n, terms in enumerate(config.settings.offerings):
+        nanos(f"offerings.{n}.hard_stop", terms.hard_stop)
+    names = [terms.name for terms in config.settings.offerings]
+    if len(set(names)) < len(names) or "" in names:
+        raise SettingsError("setting offerings has a name twice, or one without a name")
     permits: Permits = made["permits"]
-    return made | {"permits": permits._replace(follow=True, probes=False)}
+    return made | {"permits": permits._replace(follow=True, probes=False, streams=1)}
 
 
 def usable(text: bytes) -> Config:
--- a/maddercart/sidecar/decisions.py
+++ b/maddercart/sidecar/decisions.py
@@ -2,8 +2,9 @@
 
 import logging
 from collections import Counter, deque
-from collections.abc import Callable, Generator, Sequence
+from collections.abc import Callable, Generator, Mapping, Sequence
 from dataclasses import dataclass
+from typing import Any
 
 from hdrh.histogram import HdrHistogram
 
@@ -77,6 +78,10 @@
         self.balancer.learn(self.clock(), entries, whole)
         self.settle()
 
+    def renew(self, terms: Mapping[str, Any]) -> None:
+        self.balancer.renew(self.clock(), **terms)
+        self.settle()
+
     def list_failed(self) -> None:
         self.balancer.list_failed(self.clock())
         self.settle()
--- a/maddercart/sidecar/discovery.py
+++ b/maddercart/sidecar/discovery.py
@@ -41,10 +41,14 @@
     def move(self, at: tuple[str, int]) -> None:
         """Follows another service from now on. Its versions are its own, so it is asked for the whole list;
         the one that is known stays in use until that has come."""
-        if at == self.at:
-            return
-        log.info("discovery moves", extra={"to": f"{at[0]}:{at[1]}", "seq": self.upstreams.version})
-        self.at, self.upstreams.version = at, None
+        if at != self.at:
+            log.info("discovery moves", extra={"to": f"{at[0]}:{at[1]}", "seq": self.upstreams.version})
+            self.at = at
+            self.begin_anew()
+
+    def begin_anew(self) -> None:
+        """Asks for the whole list: changes alone do not tell of what was passed over, or placed otherwise."""
+        self.upstreams.version = None
         if self.task is not None:
             self.loop.end(self.task)
             self.task, self.following = None, False
--- a/maddercart/sidecar/node.py
+++ b/maddercart/sidecar/node.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 from resource import RLIMIT_NOFILE, getrlimit
 
+from msgspec.structs import replace
+
 from maddercart.interface import SECOND
 from maddercart.logic import Balancer
 from maddercart.messages.config import Config
@@ -41,19 +43,18 @@
         self.upstreams = Upstreams(settings.zones, settings.kinds)
         self.pool = Pool(self.loop, clock, self.upstreams.ready)
         self.dispatcher = Dispatcher(self.pool, clock)
-        balancer = Balancer(clock(), int(config.seed, 16), **arguments(config))  # type: ignore[arg-type]
+        balancer = Balancer(clock(), int(config.seed, 16), **arguments(config))
         self.discovery = Discovery(
             self.loop, clock, address(config.discovery), self.upstreams, self.learn, self.list_failed
         )
         self.decisions = Decisions(
             self.loop, clock, balancer, self.upstreams, self.dispatcher, self.discovery.follow
         )
-        offerings = {terms.name: place for place, terms in enumerate(settings.offerings)}
         self.applications = Applications(
-            self.loop, clock, self.decisions, offerings, lambda: bool(self.upstreams.ready)
+            self.loop, clock, self.decisions, {}, lambda: bool(self.upstreams.ready)
         )
+        self.longest = 0
         self.limit(config)
-        self.longest = max((nanos("hard_stop", terms.hard_stop) for terms in settings.offerings), default=0)
         self.listener = listen(address(config.listen))
 
     def limit(self, config: Config) -> None:
@@ -65,6 +66,10 @@
         self.pool.most_body = self.dispatcher.most_bodies // 4
         self.pool.close_after(nanos("limits.idle_close", limits.idle_close))
         self.dispatcher.connect_timeout = nanos("limits.connect_timeout", limits.connect_timeout)
+        offerings = config.settings.offerings
+        self.applications.offerings = {terms.name: place for place, terms in enumerate(offerings)}
+        # What is held may have been taken under a longer hard stop than the new settings have.
+        self.longest = max(self.longest, *(nanos("hard_stop", terms.hard_stop) for terms in offerings))
 
     def renew(self) -> None:
         """SIGHUP: a new configuration is followed as far as that goes while queries are held."""
@@ -73,12 +78,26 @@
         except (OSError, ValueError) as error:
             log.error("new configuration can't be used", extra={"reason": str(error)})
             return
-        fixed = ("name", "listen", "settings")
-        wants = [name for name in fixed if getattr(config, name) != getattr(self.config, name)]
+        wants = [name for name in ("name", "listen") if getattr(config, name) != getattr(self.config, name)]
         log.info("configuration read again", extra={"wants_a_restart": ",".join(wants)} if wants else {})
+        former, self.config = self.config, replace(config, name=self.config.name, listen=self.config.listen)
         self.limit(config)
+        if config.settings != former.settings:
+            self.switch(config)
         self.discovery.move(address(config.discovery))
 
+    def switch(self, config: Config) -> None:
+        """All that goes by an offering's, a zone's or a kind's number changes in this one turn. The way back
+        is the same step."""
+        settings, known = config.settings, self.upstreams
+        placed = (list(known.zones), list(known.kinds))
+        zones, kinds = known.place(settings.zones, settings.kinds)
+        if placed != (settings.zones, settings.kinds):
+            self.discovery.begin_anew()
+        self.decisions.renew(arguments(config) | {"zones": zones, "kinds": kinds})
+        offerings = ",".join(terms.name for terms in settings.offerings)
+        log.info("settings switched", extra={"offerings": offerings, "zones": ",".join(settings.zones)})
+
     def learn(self, listing: Listing) -> None:
         self.decisions.learn(self.upstreams.learn(listing), listing.whole)
         self.pool.drop_unwanted()
--- a/maddercart/sidecar/upstreams.py
+++ b/maddercart/sidecar/upstreams.py
@@ -24,14 +24,26 @@
 
 class Upstreams:
     def __init__(self, zones: Sequence[str], kinds: Sequence[str]) -> None:
-        self.zones = {name: place for place, name in enumerate(zones)}
-        self.kinds = {name: place for place, name in enumerate(kinds)}
+        self.zones: dict[str, int] = {}
+        self.kinds: dict[str, int] = {}
+        self.place(zones, kinds)
         self.names: dict[int, str] = {}
         self.dials: dict[int, tuple[str, int]] = {}  # of those that are listed, drains among them
         self.ready: set[int] = set()
         self.version: int | None = None  # None: the whole list must be asked for
         self.logged: set[str] = set()
 
+    def place(self, zones: Sequence[str], kinds: Sequence[str]) -> tuple[list[int], list[int]]:
+        """From now on zones and kinds have these numbers. What each former one is now; -1: no zone now."""
+        former, former_kinds = self.zones, self.kinds
+        self.zones = {name: place for place, name in enumerate(zones)}
+        self.kinds = {name: place for place, name in enumerate(kinds)}
+        unknown = len(self.kinds)  # the number of any kind that has no name here
+        return (
+            [self.zones.get(name, -1) for name in former],
+            [*(self.kinds.get(name, unknown) for name in former_kinds), unknown],
+        )
+
     def learn(self, listing: Listing) -> list[Entry]:
         """The lines that can be read. Another that could not be is passed over and logged once."""
         self.version = listing.seq
--- a/maddercart/translation.py
+++ b/maddercart/translation.py
@@ -1,13 +1,13 @@
 """The settings of a deployment, turned once into the arguments of a `Balancer`; both hosts use this."""
 
-from math import isfinite
 from typing import Any
 
 from maddercart import interface as i
-from maddercart.messages.config import OfferingTerms, Party, Settings
+from maddercart.messages.config import OfferingTerms, Settings
 
 EFFECTS = {"free": i.REDOABLE, "guarded": i.LABELLED, "single_shot": i.IRREVERSIBLE}
 WEIGHTS = {"none": 0, "nominal": 1, "rough": 2, "live": 3}  # what the list's figure for an upstream is
+MOST, MOST_SECONDS = 1e12, 1e6  # of any figure, and of a length of time: more than ten days is a mistake
 GROUPS = {"all": i.EVERYWHERE, "zone": i.SAME_ZONE, "cell": i.SAME_CELL}
 
 
@@ -16,9 +16,14 @@
 
 
 def nanos(name: str, seconds: float) -> int:
-    if not isfinite(seconds):
-        raise SettingsError(f"setting {name} is no length of time: {seconds!r}")
-    return round(seconds * i.SECOND)
+    return round(number(name, seconds, "length of time", most=MOST_SECONDS) * i.SECOND)
+
+
+def number(name: str, value: float, what: str, least: float = 0.0, most: float = MOST) -> float:
+    """Neither a sign, nor no number, nor a size beyond sense reaches the decisions."""
+    if not least <= value <= most:
+        raise SettingsError(f"setting {name} is no {what}: {value!r}")
+    return value
 
 
 def one_of(name: str, table: dict[str, int], word: str) -> int:
@@ -27,50 +32,56 @@
     return table[word]
 
 
-def quota(at: str, party: Party) -> float:
-    if not 0 <= party.quota_per_s < float("inf"):
-        raise SettingsError(f"setting {at}quota_per_s is no rate: {party.quota_per_s!r}")
-    return party.quota_per_s
-
-
 def offering(at: str, terms: OfferingTerms) -> i.Offering:
     return i.Offering(
         effect=one_of(at + "semantics", EFFECTS, terms.semantics),
         group=one_of(at + "group", GROUPS, terms.group),
         window=nanos(at + "window", terms.window),
         agreed=nanos(at + "agreed_time", terms.agreed_time),
-        earnings=terms.earnings,
-        late_earnings=terms.tardy_earnings,
+        earnings=number(at + "earnings", terms.earnings, "worth"),
+        late_earnings=number(at + "tardy_earnings", terms.tardy_earnings, "worth"),
     )
 
 
 def balancer_arguments(settings: Settings) -> dict[str, Any]:
     """The arguments of `Balancer`, but for the clock and the seed."""
-    limits, rules = settings.limits, settings.rules
+    limits, rules, zones = settings.limits, settings.rules, max(1, len(settings.zones))
+    if not settings.offerings:
+        raise SettingsError("setting offerings is empty")
+    if not 0 <= settings.zone < zones:
+        raise SettingsError(f"setting zone is none of the {zones} zones: {settings.zone}")
+    for name in ("zones", "kinds"):
+        if len(set(names := getattr(settings, name))) < len(names):
+            raise SettingsError(f"setting {name} names one twice")
+    nanos("limits.idle_close", limits.idle_close)
+    nanos("limits.connect_timeout", limits.connect_timeout)
     come_back = nanos("limits.max_retry_after", limits.max_retry_after) if limits.retry_after else 0
     return {
         "place": i.Place(
             number=settings.self_index,
             sidecars=max(1, settings.group_size),
             zone=settings.zone,
-            zones=max(1, len(settings.zones)),
+            zones=zones,
         ),
         "offerings": [offering(f"offerings.{n}.", terms) for n, terms in enumerate(settings.offerings)],
         "cold": i.ColdRule(
-            start=rules.cold_from,
+            start=number("rules.cold_from", rules.cold_from, "share", most=1.0),
             ramp=nanos("rules.ramp_time", rules.ramp_time),
-            multiple=rules.fall_multiple,
+            multiple=number("rules.fall_multiple", rules.fall_multiple, "multiple"),
             window=nanos("rules.overload_for", rules.overload_for),
         ),
-        "quotas": [quota(f"parties.{n}.", party) for n, party in enumerate(settings.parties)],
+        "quotas": [
+            number(f"parties.{n}.quota_per_s", party.quota_per_s, "rate")
+            for n, party in enumerate(settings.parties)
+        ],
         "permits": i.Permits(
-            dispatches=limits.most_dispatches,
+            dispatches=int(number("limits.most_dispatches", limits.most_dispatches, "count", least=1)),
             cancel=limits.cancel,
             probes=limits.probing,
             come_back=come_back,
             moving=one_of("weight_kind", WEIGHTS, settings.weight_kind) == WEIGHTS["live"],
-            streams=limits.max_streams,
-            crossing=settings.charges.cross_zone,
+            streams=int(number("limits.max_streams", limits.max_streams, "count", least=1)),
+            crossing=number("charges.cross_zone", settings.charges.cross_zone, "price"),
             follow=settings.discovery == "ask",
         ),
     }
