--- a/maddercart/logic.py
+++ b/maddercart/logic.py
@@ -55,6 +55,7 @@
         self.report: tuple[int, Report] | None = None  # when heard
         self.failures = self.pauses = 0  # in a row, below 0 successes; since it was last well
         self.canary_due, self.canary_out, self.probe_out = 0, False, False  # due: set while ejected
+        self.full_until = 0  # its connections are taken
 
     def heard(self, now: int) -> bool:  # an answer or a report has come lately
         answered = bool(self.samples) and now - self.samples[-1][0] < self.HEARD
@@ -161,14 +162,15 @@
             known.crowd = max(1.0, known.size * sum(known.shares) / len(known.shares))
 
     def sort(self, now: int) -> None:  # due after a change of the list, an ejection, a return, warmth
-        well = [[known for known in zone if not known.canary_due] for zone in self.zones]
+        well = [[k for k in zone if not k.canary_due and k.full_until <= now] for zone in self.zones]
         self.usable = [[known for known in zone if known.warm_at <= now] for zone in well]
         self.cold = [[known for known in zone if known.warm_at > now] for zone in well]
-        self.sort_at = min((known.warm_at for known in chain(*self.cold)), default=1 << 62)
+        dues = [max(known.full_until, known.warm_at) for known in chain(*self.zones)]
+        self.sort_at = min((due for due in dues if due > now), default=1 << 62)
 
     def members(self, now: int, zone: int, taken: Sequence[int], abroad: bool) -> list[Upstream]:
         """Those of a zone that we use; fewer abroad, where each ever used keeps a connection of ours."""
-        met = len(taken) * self.MEET // max(SECOND, now - taken[0])
+        met = 0 if self.moving else len(taken) * self.MEET // max(SECOND, now - taken[0])
         return self.usable[zone][: self.ABROAD if abroad else max(self.LEAST, met)]
 
 
@@ -505,6 +507,7 @@
     LATE, UNSURE = 0.9, 0.18  # of the shortest agreed time before a bounce: less where sidecars are many
     YIELD, LEAST = 0.15, 0.6  # less of it for each better earning offering, which is left that much room
     BEYOND = 0.35  # at most, for what is beyond its party's share: it earns little, and does not cross
+    FULL = 8 * SECOND  # others keep a connection for a minute, and each try in vain costs a dispatch
     UNHEARD = 0.25  # of the shortest agreed time: what an answer is taken to need before any was seen
     DRAWS = 3  # pairs drawn in each of the first two zones: one odd pair is no full zone
     FOLLOW_FIRST, FOLLOW_MOST = SECOND // 2, 8 * SECOND  # pauses after failed calls to the list
@@ -631,7 +634,7 @@
         if outcome == UNREACHABLE and self.permits.streams > 1 and known.lives(now):
             # Its connections are taken by others: no failure, and the next would be refused as well. Counted
             # so it had zones fail over, and hundreds opened more connections elsewhere until all were taken.
-            self.health.postpone(now, known)
+            known.full_until = now + int(self.FULL * self.spread(0.8, 1.2))
             self.roster.sort_at = now
             return
         if self.health.judge(now, known, good):
