--- a/maddercart/logic.py
+++ b/maddercart/logic.py
@@ -97,7 +97,7 @@
     """The list as it was told, and which upstreams of it this sidecar uses."""
 
     LEAST = 3  # upstreams used of a zone: a pick of two, and one more to compare them with
-    ABROAD = 2  # a pick: servers take so many connections, and those of other zones kept home's out
+    ABROAD = 1  # a pick: servers take so many connections, and those of other zones kept home's out
     MEET = SECOND  # and as many as get a query of ours within this time: then their answers are fresh
 
     HUGE = 1e6  # a size beyond any machine's: such a figure, or none, counts as 1
