--- a/maddercart/logic.py
+++ b/maddercart/logic.py
@@ -55,7 +55,6 @@
         self.report: tuple[int, Report] | None = None  # when heard
         self.failures = self.pauses = 0  # in a row, below 0 successes; since it was last well
         self.canary_due, self.canary_out, self.probe_out = 0, False, False  # due: set while ejected
-        self.full_until = 0  # its connections are taken
 
     def heard(self, now: int) -> bool:  # an answer or a report has come lately
         answered = bool(self.samples) and now - self.samples[-1][0] < self.HEARD
@@ -97,7 +96,6 @@
     """The list as it was told, and which upstreams of it this sidecar uses."""
 
     LEAST = 3  # upstreams used of a zone: a pick of two, and one more to compare them with
-    ABROAD = 1  # a pick: servers take so many connections, and those of other zones kept home's out
     MEET = SECOND  # and as many as get a query of ours within this time: then their answers are fresh
 
     HUGE = 1e6  # a size beyond any machine's: such a figure, or none, counts as 1
@@ -162,16 +160,16 @@
             known.crowd = max(1.0, known.size * sum(known.shares) / len(known.shares))
 
     def sort(self, now: int) -> None:  # due after a change of the list, an ejection, a return, warmth
-        well = [[k for k in zone if not k.canary_due and k.full_until <= now] for zone in self.zones]
+        well = [[known for known in zone if not known.canary_due] for zone in self.zones]
         self.usable = [[known for known in zone if known.warm_at <= now] for zone in well]
         self.cold = [[known for known in zone if known.warm_at > now] for zone in well]
-        dues = [max(known.full_until, known.warm_at) for known in chain(*self.zones)]
-        self.sort_at = min((due for due in dues if due > now), default=1 << 62)
+        self.sort_at = min((known.warm_at for known in chain(*self.cold)), default=1 << 62)
 
     def members(self, now: int, zone: int, taken: Sequence[int], abroad: bool) -> list[Upstream]:
-        """Those of a zone that we use; fewer abroad, where each ever used keeps a connection of ours."""
+        """Those of a zone that we use; abroad one, where each that was ever used keeps a connection of ours.
+        A list that tells loads makes up for answers that are not fresh."""
         met = 0 if self.moving else len(taken) * self.MEET // max(SECOND, now - taken[0])
-        return self.usable[zone][: self.ABROAD if abroad else max(self.LEAST, met)]
+        return self.usable[zone][: 1 if abroad else max(self.LEAST, met)]
 
 
 class Answers:
@@ -507,7 +505,6 @@
     LATE, UNSURE = 0.9, 0.18  # of the shortest agreed time before a bounce: less where sidecars are many
     YIELD, LEAST = 0.15, 0.6  # less of it for each better earning offering, which is left that much room
     BEYOND = 0.35  # at most, for what is beyond its party's share: it earns little, and does not cross
-    FULL = 8 * SECOND  # others keep a connection for a minute, and each try in vain costs a dispatch
     UNHEARD = 0.25  # of the shortest agreed time: what an answer is taken to need before any was seen
     DRAWS = 3  # pairs drawn in each of the first two zones: one odd pair is no full zone
     FOLLOW_FIRST, FOLLOW_MOST = SECOND // 2, 8 * SECOND  # pauses after failed calls to the list
@@ -634,7 +631,7 @@
         if outcome == UNREACHABLE and self.permits.streams > 1 and known.lives(now):
             # Its connections are taken by others: no failure, and the next would be refused as well. Counted
             # so it had zones fail over, and hundreds opened more connections elsewhere until all were taken.
-            known.full_until = now + int(self.FULL * self.spread(0.8, 1.2))
+            self.health.postpone(now, known)
             self.roster.sort_at = now
             return
         if self.health.judge(now, known, good):
@@ -732,10 +729,14 @@
         if now - self.answers.settled > min(SECOND, fresh := self.answers.fresh(now)):
             self.answers.settle(now)
         best, soonest, typical = None, 0, self.answers.typical
-        for place, zone in enumerate(self.group.zones(now)):
-            if query.beyond and place and best is not None:
+        # Where a connection carries many queries a sidecar crosses to one upstream of the next zone alone:
+        # with more, all servers' connections were taken, most by other zones, and each cost them capacity.
+        zones, few = self.group.zones(now), self.permits.streams > 1
+        for place, zone in enumerate(zones):
+            if place and best is not None and (query.beyond or (few and place > len(self.group.home))):
                 break
-            ready, fed = self.candidates(now, query, zone)
+            abroad = few and zone not in (zones[0], *self.group.home)
+            ready, fed = self.candidates(now, query, zone, abroad)
             pair, pace = self.pick.pair(ready, fed), self.answers.pace(now, zone, self.roster.zones[zone])
             for _ in range(self.DRAWS if place < 2 else 1):
                 if not (pair := pair or self.pick.pair(ready, [])):
@@ -751,9 +752,10 @@
                 ready, pair = [known for known in ready if known is not chosen], []
         return best, soonest
 
-    def candidates(self, now: int, query: Query, zone: int) -> tuple[list[Upstream], list[Upstream]]:
+    def candidates(
+        self, now: int, query: Query, zone: int, abroad: bool
+    ) -> tuple[list[Upstream], list[Upstream]]:
         """The upstreams of a zone that may get this query: warm ones, and a cold one that is ours to feed."""
-        abroad = self.permits.streams > 1 and zone not in self.group.home
         ready = self.roster.members(now, zone, self.answers.taken, abroad)
         fed = [known for known in self.roster.cold[zone] if self.cold.allows(now, known, self.work())]
         if query.sent:
