--- a/maddercart/sidecar/applications.py
+++ b/maddercart/sidecar/applications.py
@@ -115,8 +115,8 @@
         return False
 
     def crowded(self) -> bool:
-        """A place is worth more than a connection that is kept: half are taken, a third by such that rest. A new
-        connection for each query costs CPU, so silent ones alone, or many that are used, do not count."""
+        """A place is worth more than a connection that is kept: half are taken, a third by such that rest.
+        A new connection for each query costs CPU: silent ones alone, or many that are used, don't count."""
         return 2 * len(self.open) > self.most and 3 * len(self.phases[Phase.IDLE]) >= self.most
 
     def enter(self, application: Application, phase: Phase) -> None:
