--- a/maddercart/logic.py
+++ b/maddercart/logic.py
@@ -318,6 +318,7 @@
         self.entries, self.timer, self.returned = 0, 0, -self.RISE
         self.canary_zone: int | None = None
         self.canary_sent, self.canary_until = False, 0
+        self.ask_at = 0  # when each backup has been asked in vain: the next round
 
     def place(self, place: Place) -> None:
         self.order = sorted(range(place.zones), key=lambda z: (z != place.zone, mix(place.number, z)))
@@ -367,7 +368,7 @@
         elif self.state == BACKUP and (now >= self.timer or failing):
             self.failed.clear()
             self.state = RECOVERY
-        if self.state in (FAILOVER, RECOVERY) and self.canary_zone is None:
+        if self.state in (FAILOVER, RECOVERY) and self.canary_zone is None and now >= self.ask_at:
             self.canary_zone = self.order[0] if self.state == RECOVERY else self.serving
             self.canary_sent, self.canary_until = False, now + self.CANARY_WAIT
         elif self.canary_zone is not None and now >= self.canary_until:
@@ -376,8 +377,9 @@
         return f"{before} to {self.state}" if self.state != before else None
 
     def due(self, now: int) -> int:  # when to step, if nothing comes in before
-        if self.canary_zone is not None or self.state == BACKUP:
-            return self.timer if self.canary_zone is None else self.canary_until
+        if self.canary_zone is not None or self.state in (BACKUP, FAILOVER):
+            waits = self.timer if self.state == BACKUP else self.ask_at
+            return waits if self.canary_zone is None else self.canary_until
         stretched = self.failed[0] + self.STRETCH if len(self.failed) > 1 else 0
         return stretched if stretched > now else 1 << 62
 
@@ -386,6 +388,10 @@
         if self.state == FAILOVER and not good:
             tried = self.order.index(self.serving) - len(self.home) + 1
             self.serving = self.backups[tried % len(self.backups)]
+            # Guards against rounds that end at once: refused in a millisecond, each began the next, and 485
+            # sidecars sent 16,000 probes a second at servers that turned them away for that.
+            if tried % len(self.backups) == 0:
+                self.ask_at = now + int(self.RECOVER * self.spread(0.8, 1.2))
         elif self.state == RECOVERY and good:
             self.enter_primary(now)
         else:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -97,6 +97,19 @@
     assert group.step(group.timer) == "RECOVERY to PRIMARY"
 
 
+def test_a_round_of_canaries_in_vain_is_followed_by_a_pause() -> None:
+    """Refused in a millisecond, each round began the next: 485 sidecars sent 16,000 probes a second."""
+    host = Host([entry(0), entry(1), entry(2, 1), entry(3, 2)], zones=3, permits=PROBING)
+    lose_home(host)
+    asked, began = 0, host.now
+    while host.now < began + 3 * i.SECOND:
+        host.run(5 * MS)
+        for upstream in [upstream for upstream in host.probes if upstream > 1]:
+            host.probed(upstream, False)
+            asked += 1
+    assert host.balancer.group.state == "FAILOVER" and 4 <= asked <= 10, "two backups, a round a second"
+
+
 def test_a_primary_success_cancels_the_failover(failing: Host) -> None:
     failing.balancer.group.heard(failing.now, 0, True)
     assert failing.balancer.group.state == "PRIMARY"
