--- a/maddercart/logic.py
+++ b/maddercart/logic.py
@@ -18,9 +18,9 @@
 from random import Random
 
 from maddercart.interface import (
-    CANCELLED, DONE, EVERYWHERE, GONE, IRREVERSIBLE, LABELLED, MILLISECOND, MOOT, NEVER_RAN, READY, REDOABLE,
-    RESET, SAME_ZONE, SECOND, TIMED_OUT, UNREACHABLE, ColdRule, Decision, Entry, Offering, Permits, Place,
-    Report,
+    CANCELLED, DONE, EVERYWHERE, FULL, GONE, IRREVERSIBLE, LABELLED, MILLISECOND, MOOT, NEVER_RAN, READY,
+    REDOABLE, RESET, SAME_ZONE, SECOND, TIMED_OUT, UNREACHABLE, ColdRule, Decision, Entry, Offering, Permits,
+    Place, Report,
 )  # fmt: skip
 
 
@@ -54,6 +54,7 @@
         self.sent_cold: deque[int] = deque()  # when it was sent each of the last queries while cold
         self.report: tuple[int, Report] | None = None  # when heard
         self.failures = self.pauses = 0  # in a row, below 0 successes; since it was last well
+        self.full_at = 0  # when it last turned one away that was sent after the one before was known
         self.canary_due, self.canary_out, self.probe_out = 0, False, False  # due: set while ejected
 
     def heard(self, now: int) -> bool:  # an answer or a report has come lately
@@ -603,7 +604,7 @@
             if outcome == DONE and not known.canary_out:
                 self.give_up(now, known, sent[0])
             if outcome not in (CANCELLED, MOOT):
-                self.judge(now, known, outcome, duration, sent[1], canary)
+                self.judge(now, known, outcome, duration, sent, canary)
             elif canary:  # it tells nothing; waited for, it would be the last one that is ever sent
                 known.canary_out, self.look_at = False, now
         if query is not None:
@@ -627,13 +628,20 @@
     def woken(self, now: int) -> None:  # an earlier timer may have taken this one's place
         self.wake_at = self.NEVER if now >= self.wake_at - MILLISECOND else self.wake_at
 
-    def judge(self, now: int, known: Upstream, outcome: int, duration: int, then: int, canary: bool) -> None:
+    def judge(
+        self, now: int, known: Upstream, outcome: int, duration: int, sent: tuple[int, int], canary: bool
+    ) -> None:
+        at, then = sent
         if good := outcome in (DONE, TIMED_OUT):  # a time-out as long as others' answers is no failure
             known.samples.append((now, duration, then))
             self.answers.add(now, known.entry, duration)
             good = not self.lags(duration, then)
         if canary:
             return self.canary_back(now, known, good)
+        if outcome == FULL:  # one full queue turns away all that is on its way to it: that is one failure
+            if at < known.full_at:
+                return
+            known.full_at = now
         if outcome == UNREACHABLE and self.permits.streams > 1 and known.lives(now):
             # Its connections are taken by others: no failure, and the next would be refused as well. Counted
             # so it had zones fail over, and hundreds opened more connections elsewhere until all were taken.
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -191,6 +191,18 @@
     assert {host.take()[0][2] for _ in range(4)} == {1}
 
 
+def test_what_one_full_queue_turned_away_is_one_failure() -> None:
+    """A server that took what it could and refused the rest was ejected by each burst, half of the time."""
+    host = Host([entry(0)], zones=1, permits=permits(dispatches=1), offerings=[offering(agreed=i.SECOND)])
+    known = host.balancer.roster.by_id[0]
+    for ejected in (False, False, True):
+        sent = [int(made[0][1]) for _ in range(3) if (made := host.take())[0][0] == "dispatch"]
+        host.now += 28 * MS
+        for query in sent:
+            host.end(query, 0, i.FULL)
+        assert len(sent) > 1 and bool(known.canary_due) == ejected
+
+
 def test_upstreams_that_have_gone_are_forgotten_once_nothing_rests_on_them() -> None:
     """New ones came under new ids all day, and each list was sorted with all that ever were."""
     host = Host([entry(0), entry(1), entry(2)], zones=1)
