--- a/maddercart/messages/config.py
+++ b/maddercart/messages/config.py
@@ -25,6 +25,7 @@
     connect_timeout: float = 0.25
     idle_close: float = 30.0
     max_streams: int = 1
+    may_tell: bool = False  # sidecars may send one another datagrams
 
 
 class OfferingTerms(Struct, frozen=True):
@@ -82,6 +83,9 @@
     settings: Settings
     known: Listing
     limits: MachineLimits = MachineLimits()
+    peer_listen: str = ""
+    peers: list[str] = []
+    peers_all: str = ""
 
 
 _config = msgspec.json.Decoder(Config)
--- a/maddercart/sidecar/backing.py
+++ b/maddercart/sidecar/backing.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Mapping, Sequence
 from typing import Any
 
+from maddercart.interface import Entry
 from maddercart.logic import Balancer
 from maddercart.messages.upstreams import Listing
 from maddercart.net.loop import Loop
@@ -27,15 +28,26 @@
         self.pool = Pool(loop, clock, self.upstreams.ready)
         self.dispatcher = Dispatcher(self.pool, clock, meaning)
         balancer = Balancer(clock(), seed, **arguments)
+        self.heard: set[int] = set()
         self.decisions = Decisions(loop, clock, balancer, self.upstreams, self.dispatcher, follow)
 
     def ready(self) -> bool:
         return bool(self.upstreams.ready)
 
     def learn(self, listing: Listing) -> None:
+        """From discovery, or as it was last known; what was only heard before is taken back."""
+        if self.heard:
+            told = self.upstreams.entries
+            self.decisions.learn([told[number] for number in sorted(self.heard) if number in told], False)
+            self.heard.clear()
         self.decisions.learn(self.upstreams.learn(listing), listing.whole)
         self.pool.drop_unwanted()
 
+    def hear(self, entries: list[Entry]) -> None:
+        """From other sidecars, while discovery has not spoken. The version stays: it tells all changes."""
+        self.heard.update(entry.upstream for entry in entries)
+        self.decisions.learn(entries, False)
+
     def list_failed(self) -> None:
         self.decisions.list_failed()
 
--- a/maddercart/sidecar/configuration.py
+++ b/maddercart/sidecar/configuration.py
@@ -29,9 +29,17 @@
     int(config.seed, 16)
     for at in (config.listen, config.discovery):
         address(at)
+    if peering(config):
+        for at in (config.peer_listen, config.peers_all, *config.peers):
+            address(at)
     return config
 
 
+def peering(config: Config) -> bool:
+    """Whether sidecars may send one another datagrams, and are told where."""
+    return config.settings.limits.may_tell and bool(config.peer_listen and config.peers_all and config.peers)
+
+
 def usable_file(path: Path | None) -> Config:
     """Raises `OSError` as well."""
     if path is None:
--- a/maddercart/sidecar/node.py
+++ b/maddercart/sidecar/node.py
@@ -9,14 +9,16 @@
 
 from maddercart.interface import SECOND
 from maddercart.messages.config import Config
+from maddercart.messages.upstreams import Listing
 from maddercart.net.loop import Coroutine, Loop, Wait
 from maddercart.net.sockets import address, listen
 from maddercart.sidecar.applications import Applications
 from maddercart.sidecar.backing import Backing
 from maddercart.sidecar.clock import Clock
-from maddercart.sidecar.configuration import arguments
+from maddercart.sidecar.configuration import arguments, peering
 from maddercart.sidecar.discovery import Discovery
 from maddercart.sidecar.fronts import PlatformFront
+from maddercart.sidecar.peers import Peers
 from maddercart.sidecar.signals import await_signals
 from maddercart.sidecar.stopping import stop
 from maddercart.translation import nanos
@@ -43,9 +45,14 @@
         self.upstreams, self.pool = self.backing.upstreams, self.backing.pool
         self.dispatcher, self.decisions = self.backing.dispatcher, self.backing.decisions
         self.discovery = Discovery(
-            self.loop, clock, address(config.discovery), self.upstreams, self.backing.learn,
-            self.backing.list_failed,
+            self.loop, clock, address(config.discovery), self.upstreams, self.learn, self.list_failed
         )  # fmt: skip
+        self.peers: Peers | None = None
+        if peering(config):
+            self.peers = Peers(
+                self.loop, clock, address(config.peer_listen), [address(at) for at in config.peers],
+                address(config.peers_all), self.upstreams, self.backing.hear, self.decisions.counts,
+            )  # fmt: skip
         self.front = PlatformFront(self.decisions, self.backing.ready)
         self.applications = Applications(self.loop, clock, self.front, self.decisions.counts)
         self.longest = 0
@@ -107,10 +114,22 @@
     def start(self) -> None:
         """The list last known comes before any query."""
         self.backing.learn(self.config.known)
+        if self.peers is not None:
+            self.peers.ask()
         self.applications.acceptor = self.loop.spawn(self.applications.accept_from(self.listener))
         self.loop.spawn(self.tell())
         self.loop.spawn(self.pool.sweep())
 
+    def learn(self, listing: Listing) -> None:
+        self.backing.learn(listing)
+        if self.peers is not None:
+            self.peers.follows(True)
+
+    def list_failed(self) -> None:
+        if self.peers is not None:
+            self.peers.follows(False)
+        self.backing.list_failed()
+
     def stop(self) -> None:
         stopping = stop(self.loop, self.clock, self.listener, self.applications, self.longest, self.leave)
         self.loop.spawn(stopping)
--- /dev/null
+++ b/maddercart/sidecar/peers.py
@@ -0,0 +1,137 @@
+"""The other sidecars' word for the list, in use until discovery has spoken to this one.
+
+A sidecar starts with the list as it last had it. Where a whole tier starts at once discovery takes seconds to
+tell them all, and till then each would send its queries to upstreams that have gone, or that have just come
+back and are cold. So it asks those that discovery has told. What two of them say alike counts as told, and is
+taken back once discovery speaks itself."""
+
+import logging
+import socket
+from collections import Counter, defaultdict
+from collections.abc import Callable, Mapping, Sequence
+
+from maddercart.interface import DRAINING, GONE, MILLISECOND, READY, SECOND, Entry
+from maddercart.messages.words import ASK, MOST, Message, Word, key_of, read, tells, write
+from maddercart.net.loop import READ, Coroutine, Loop, Task, Wait
+from maddercart.net.sockets import close
+from maddercart.sidecar.upstreams import Upstreams
+
+log = logging.getLogger(__name__)
+
+Address = tuple[str, int]
+
+ALIKE = 2  # so many must say the same: no decision rests on one datagram, nor on one sidecar
+OLD = 2 * SECOND  # an older datagram is dropped: on its way they take milliseconds
+AT_ONCE = 256  # datagrams read in a turn: a flood must not hold up queries
+APART = SECOND // 2  # asks of ours; a tier that starts at once asks each other some thousand times as it is
+ANSWERED = 4  # asks of one peer within `OLD`: one that asks without end is not answered without end
+
+
+class Peers:
+    def __init__(
+        self, loop: Loop, clock: Callable[[], int], at: Address, peers: Sequence[Address], everyone: Address,
+        upstreams: Upstreams, hear: Callable[[list[Entry]], None], counts: Counter[str],
+    ) -> None:  # fmt: skip
+        self.loop, self.clock, self.everyone, self.upstreams = loop, clock, everyone, upstreams
+        self.peers, self.hear, self.counts = frozenset(peers), hear, counts
+        self.told = self.live = False  # discovery has spoken to this process; it still does
+        self.asked = -APART
+        self.said: dict[Word, set[Address]] = defaultdict(set)
+        self.answered: dict[Address, list[int]] = {}
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM | socket.SOCK_NONBLOCK)
+        self.sock.bind(at)
+        self.task: Task = loop.spawn(self.receive())
+
+    def close(self) -> None:
+        self.loop.end(self.task)
+        close(self.loop, self.sock)
+
+    # -- what discovery does
+
+    def follows(self, live: bool) -> None:
+        """Discovery has told the list, or has broken off."""
+        self.live, self.told = live, self.told or live
+        if self.told:
+            self.said.clear()
+        else:
+            self.ask()
+
+    def ask(self) -> None:
+        now = self.clock()
+        if not self.told and now - self.asked >= APART:
+            self.asked = now
+            self.send(write(ASK, self.upstreams.version or 0, now // MILLISECOND), self.everyone)
+
+    # -- what comes
+
+    def receive(self) -> Coroutine:
+        while True:
+            yield Wait(self.sock.fileno(), READ)
+            for _ in range(AT_ONCE):
+                try:
+                    data, sender = self.sock.recvfrom(MOST + 1)
+                except OSError:  # nothing more, or a refusal of what was sent before
+                    break
+                try:
+                    self.take(data, sender)
+                except ValueError as error:
+                    self.counts["words_dropped"] += 1
+                    log.debug("datagram dropped", extra={"from": sender, "reason": str(error)})
+
+    def take(self, data: bytes, sender: Address) -> None:
+        """Raises `ValueError` for a datagram that is none of ours, or is old."""
+        if sender not in self.peers:
+            raise ValueError("not from a peer")
+        message, now = read(data), self.clock()
+        if abs(now - message.at_ms * MILLISECOND) > OLD:
+            raise ValueError("too old")
+        if message.kind == ASK:
+            self.answer(message, sender, now)
+        elif not self.told:
+            self.listen(message, sender)
+
+    def answer(self, message: Message, sender: Address, now: int) -> None:
+        """By who has it from discovery alone: what went round would come back as a second one's word."""
+        lately = [at for at in self.answered.get(sender, []) if now - at < OLD]
+        if not self.live or len(lately) >= ANSWERED:
+            return
+        self.answered[sender] = [*lately, now]
+        words = [
+            Word(key_of(number), condition, launched // MILLISECOND)
+            for number, condition, launched in self.upstreams.changed_after(message.version)
+        ]
+        for data in tells(self.upstreams.version or 0, now // MILLISECOND, words):
+            self.send(data, sender)
+
+    def listen(self, message: Message, sender: Address) -> None:
+        alike = []
+        for word in message.words:
+            if word.condition not in (GONE, READY, DRAINING):
+                raise ValueError("no such condition")
+            self.said[word].add(sender)
+            if len(self.said[word]) == ALIKE:
+                alike.append(word)
+        if alike:
+            self.counts["words_heard"] += len(alike)
+            self.hear(entries_of(alike, self.upstreams.entries))
+
+    def send(self, data: bytes, to: Address) -> None:
+        try:
+            self.sock.sendto(data, to)
+        except OSError as error:  # late or not at all is what is promised
+            log.debug("datagram not sent", extra={"to": to, "reason": str(error)})
+
+
+def entries_of(words: Sequence[Word], known: Mapping[int, Entry]) -> list[Entry]:
+    """Of upstreams that are listed here: where another is reached only discovery tells. What was launched
+    before what is known of it says nothing new."""
+    by_key: dict[int, list[Entry]] = defaultdict(list)
+    for entry in known.values():
+        by_key[key_of(entry.upstream)].append(entry)
+    made = []
+    for word in words:
+        launched = word.launched_ms * MILLISECOND
+        for entry in by_key[word.key] if len(by_key[word.key]) == 1 else ():
+            if launched >= entry.launched:
+                made.append(entry._replace(condition=word.condition, launched=launched))
+    return made
--- a/maddercart/sidecar/upstreams.py
+++ b/maddercart/sidecar/upstreams.py
@@ -14,6 +14,7 @@
 
 log = logging.getLogger(__name__)
 
+GONE_KEPT = 256  # upstreams that have gone: a release of that many between two starts can still be told
 CONDITIONS = {"SERVING": READY, "DRAINING": DRAINING, "DELETED": GONE}
 
 
@@ -31,6 +32,8 @@
         self.dials: dict[int, tuple[str, int]] = {}  # of those that are listed, drains among them
         self.ready: set[int] = set()
         self.version: int | None = None  # None: the whole list must be asked for
+        self.entries: dict[int, Entry] = {}  # as the list last told each, what has gone among them
+        self.changed: dict[int, int] = {}  # in which version that was, the latest last
         self.logged: set[str] = set()
 
     def place(self, zones: Sequence[str], kinds: Sequence[str]) -> tuple[list[int], list[int]]:
@@ -51,7 +54,26 @@
             self.names.clear()
             self.dials.clear()
             self.ready.clear()
-        return [entry for line in listing.hosts if (entry := self.read(line)) is not None]
+        entries = [entry for line in listing.hosts if (entry := self.read(line)) is not None]
+        self.remember(listing, entries)
+        return entries
+
+    def remember(self, listing: Listing, entries: Sequence[Entry]) -> None:
+        """For those who have an older version of it."""
+        listed = {entry.upstream for entry in entries}
+        gone = [e._replace(condition=GONE) for e in self.entries.values() if e.upstream not in listed]
+        for entry in [*(gone if listing.whole else ()), *entries]:
+            if self.entries.get(entry.upstream) != entry:
+                self.changed.pop(entry.upstream, None)
+                self.entries[entry.upstream], self.changed[entry.upstream] = entry, listing.seq
+        for number in list(self.changed) if len(self.changed) > len(self.dials) + GONE_KEPT else ():
+            if number not in self.dials and len(self.changed) > len(self.dials) + GONE_KEPT // 2:
+                del self.changed[number], self.entries[number]
+
+    def changed_after(self, version: int) -> list[tuple[int, int, int]]:
+        """Number, condition, launched of what changed later."""
+        late = [self.entries[number] for number, then in self.changed.items() if then > version]
+        return [(entry.upstream, entry.condition, entry.launched) for entry in late]
 
     def read(self, line: object) -> Entry | None:
         try:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -110,7 +110,7 @@
     limits = {"most_dispatches": 3, "cancel": True, "retry_after": True, "max_retry_after": 1.0}
     settings = {
         "offerings": offerings,
-        "limits": limits | {"connect_timeout": 0.1, "idle_close": 30.0},
+        "limits": limits | {"connect_timeout": 0.1, "idle_close": 30.0, "may_tell": True},
         "rules": {"cold_from": 0.2, "ramp_time": 10.0, "fall_multiple": 3.0, "overload_for": 1.0},
         "discovery": "ask", "group_size": 1, "zones": ["a", "b"], "kinds": ["m"],
     }  # fmt: skip
