Lists that come indented are read: values are cut by brackets, not at line ends

Ruled out: a cut by the reader (the lines that failed began at a value's first brace in the log, and compact lists of the same service were read), the limit on a line, discovery breaking off (that is logged otherwise).

What is neither object, list nor blank ends the watch and the whole list is asked for, as before.

--- a/maddercart/sidecar/discovery.py
+++ b/maddercart/sidecar/discovery.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from maddercart.http.watch import WatchFailed, WatchSide
+from maddercart.http.watch import NoList, WatchFailed, WatchSide
 from maddercart.interface import SECOND
 from maddercart.messages.upstreams import Listing, read_listing
 from maddercart.net.loop import FIRST, Coroutine, Loop, Task, Wait
@@ -97,17 +97,21 @@
         data = yield from read(sock, until)
         if data is None:
             raise WatchFailed("discovery is silent")
-        for line in side.feed(data):
-            if line:
-                self.take(line)
-
-    def take(self, line: bytes) -> None:
+        try:
+            values = side.feed(data)
+        except NoList:
+            self.upstreams.version = None
+            raise
+        for value in values:
+            self.take(value)
+
+    def take(self, value: bytes) -> None:
         """After one that can't be read, or that goes back, the whole list is asked for."""
         version, self.upstreams.version = self.upstreams.version, None
         try:
-            listing = read_listing(line)
+            listing = read_listing(value)
         except msgspec.MsgspecError as error:
-            raise WatchFailed(f"a line is no list: {error}") from error
+            raise WatchFailed(f"what came is no list: {error}") from error
         if not listing.whole and version is None:
             raise WatchFailed("changes came where the whole list was asked for")
         if not listing.whole and version is not None and listing.seq < version:
