One gate before each first byte asks what was told: no query goes to who was told to leave

Change: Dispatcher.send asks Upstreams.may_send and Balancer.may_begin ahead of each first byte; what fails ends as WITHDRAWN, a dispatch that never ran. Learning a list takes back at once what is not written. Silence 2.75 s, calls 1.5 s first, pauses at most half of what is left until missed news counts. SIGHUP keeps the old watch until the new service has spoken. Lists pushed: nothing before the first word, known after 20 s. docs/told.md has all of it. Constants: 6 s and 4 s are the page's, empty lines come every 2 s.

--- a/maddercart/gateway/pools.py
+++ b/maddercart/gateway/pools.py
@@ -124,6 +124,7 @@
             learn, failed = self.backing.learn, self.backing.list_failed
             at = address(pool.discovery)
             self.discovery = Discovery(self.loop, self.clock, at, self.backing.upstreams, learn, failed)
+            self.backing.dispatcher.news = self.discovery.news
             self.discovery.follow()
         elif pool.file:
             path = self.folder / pool.file
@@ -137,13 +138,14 @@
             self.told(pool.servers)
 
     def told(self, servers: Sequence[Server]) -> None:
-        self.backing.learn(self.members.listing(servers, self.terms))
+        self.backing.learn([self.members.listing(servers, self.terms)])
 
     def end_source(self) -> None:
         if self.watch is not None:
             self.loop.end(self.watch)
-        if self.discovery is not None and self.discovery.task is not None:
-            self.loop.end(self.discovery.task)
+        if self.discovery is not None:
+            self.discovery.close()
+            self.backing.dispatcher.news = lambda: False
         self.watch = self.discovery = None
 
     # -- another file
--- a/maddercart/interface.py
+++ b/maddercart/interface.py
@@ -12,12 +12,15 @@
 
 Calls in
     learn(now, entries, whole)      the list, or what changed on it; `whole` if everything else is gone
-    list_failed(now)                a `follow` did not work, or the subscription broke
+    list_failed(now, left)          a `follow` did not work, or the subscription broke; `left`: how long until
+                                    what is missed counts as told, if that is known
     take(now, query, offering, remaining, waited, party, again, most)   to be answered within `remaining`, of
                                     which `waited` has gone already: the host is behind with its work. `party`
                                     is whose it is (-1: not told); `again` if its client has asked before; at
                                     most `most` dispatches, and no more than the settings allow (0: as many)
     outcome(now, query, upstream, number, duration, outcome, ended, report)   how a dispatch ended
+    may_begin(now, query)           whether a dispatch whose connection has come up may still be written: a
+                                    labelled query's repeat not after its window; if not it never ran (MOOT)
     left(now, query)                the client has gone; nothing is owed any more
     probed(now, upstream, ok, duration, report)   how a probe ended
     woken(now)                      a time that was asked for has come
@@ -136,3 +139,4 @@
     moving: bool = False  # the list's sizes are lowered by what an upstream holds: size / (1 + held a core)
     streams: int = 1  # queries that a connection to an upstream carries at once
     crossing: float = 0.0  # what a dispatch to another zone costs, in earnings of a query
+    stale: int = 1 << 62  # how old the list may be: calls that fail are made again well within that
--- a/maddercart/logic.py
+++ b/maddercart/logic.py
@@ -112,8 +112,7 @@
         for old in self.by_id.values() if whole else ():
             old.entry = old.entry._replace(condition=GONE)
         for entry in entries:
-            size = entry.size if 0 < entry.size < self.HUGE else 1.0
-            known = self.by_id.get(entry.upstream)
+            size, known = entry.size if 0 < entry.size < self.HUGE else 1.0, self.by_id.get(entry.upstream)
             if known is None or entry.launched > known.entry.launched:
                 out = known.out if known else {}  # it restarted: all else was of another process
                 known = self.by_id[entry.upstream] = Upstream(entry, out)
@@ -253,10 +252,8 @@
 
     def allows(self, now: int, known: Upstream, work: int) -> bool:
         """Dealt out in whole queries along the ring of sidecars, from a hash of its id on: parts add up."""
-        if now - self.cold.window >= known.warm_at:
-            return True
-        if now < known.spent_until:
-            return False
+        if now < known.spent_until or now - self.cold.window >= known.warm_at:
+            return now >= known.spent_until
         share = self.share(now - self.cold.window, known) * self.cold.multiple
         queries = int(share * known.size * self.cold.window / (work * self.HEAVY))
         place = (self.number - mix(known.entry.upstream, 0)) % self.sidecars
@@ -471,8 +468,8 @@
     def may_send(self, now: int, query: Query) -> bool:  # only ever one is out
         return not query.out and self.may_repeat(now, query, query.suspects)
 
-    def may_repeat(self, now: int, query: Query, suspects: set[int]) -> bool:  # if these may have run
-        if query.ended or now >= query.stop or len(query.sent) >= query.most:
+    def may_repeat(self, now: int, query: Query, suspects: set[int], made: int = 0) -> bool:  # if these ran
+        if query.ended or now >= query.stop or len(query.sent) - made >= query.most:
             return False
         if suspects and query.terms.effect == LABELLED:
             return now - query.sent[min(suspects)][1] < query.terms.window
@@ -568,11 +565,12 @@
         self.roster.learn(now, entries, whole)
         self.health.ejected = {n: k for n, k in self.health.ejected.items() if self.roster.by_id.get(n) is k}
         self.group.lay(self.roster.zones)
-        self.follow_pause, self.look_at = self.FOLLOW_FIRST, now
+        self.follow_pause, self.look_at = min(self.FOLLOW_FIRST, self.permits.stale // 8), now
 
-    def list_failed(self, now: int) -> None:
-        self.follow_at = now + int(self.follow_pause * self.spread(0.5, 1.5))
-        self.follow_pause = min(2 * self.follow_pause, self.FOLLOW_MOST)
+    def list_failed(self, now: int, left: int = NEVER) -> None:
+        pause = min(self.follow_pause, max(left // 2, self.FOLLOW_FIRST // 4))
+        self.follow_at = now + int(pause * self.spread(0.5, 1.5))
+        self.follow_pause = min(2 * self.follow_pause, self.FOLLOW_MOST, self.permits.stale)
         self.look_at = min(self.look_at, self.follow_at)
 
     def take(
@@ -582,8 +580,8 @@
         terms, room = self.offerings[offering], self.rooms[offering] - waited  # its answer will wait as long
         if beyond := self.shares.beyond(now, party, again):
             room = min(room, int(terms.agreed * self.BEYOND))
-        agreed = now - waited + min(remaining, terms.agreed)
-        most, stop = min(most or 99, self.permits.dispatches), now - waited + remaining
+        most, came = min(most or 99, self.permits.dispatches), now - waited
+        agreed, stop = came + min(remaining, terms.agreed), came + remaining
         self.lines.add(Query(number, terms, room, stop, agreed, most, beyond))
         self.ledger.queries[number] = self.lines.first[-1]
         self.taken.append(now)
@@ -610,14 +608,17 @@
             elif not query.out:
                 self.lines.add(query)
 
+    def may_begin(self, now: int, number: int) -> bool:  # its first byte: a connection may come up late
+        query = self.ledger.queries.get(number)
+        return not query or self.ledger.may_repeat(now, query, query.suspects, 1)
+
     def left(self, now: int, number: int) -> None:
         if query := self.ledger.queries.get(number):
             self.close(query)
 
     def probed(self, now: int, upstream: int, ok: bool, duration: int, report: Report | None) -> None:
         if known := self.roster.by_id.get(upstream):
-            known.probe_out = False
-            known.report = (now, report) if report is not None else known.report
+            known.probe_out, known.report = False, (now, report) if report is not None else known.report
             self.canary_back(now, known, ok and not self.lags(duration, 0))
 
     def woken(self, now: int) -> None:  # an earlier timer may have taken this one's place
@@ -654,7 +655,7 @@
             self.look_at = self.look_at if outcome == DONE else now
 
     def give_up(self, now: int, known: Upstream, sent: int) -> None:
-        """Where it may go again, what a later one overtook by far: its connection alone has fallen silent."""
+        """Where it may go again, what a later one overtook by far: its connection alone is silent."""
         for (number, shot), (at, then) in list(known.out.items()) if self.permits.cancel else ():
             query, overtaken = self.ledger.queries[number], at < sent and self.lags(now - at, then)
             if overtaken and self.ledger.may_repeat(now, query, query.suspects | {shot}):
--- a/maddercart/messages/config.py
+++ b/maddercart/messages/config.py
@@ -50,6 +50,8 @@
     ramp_time: float
     fall_multiple: float
     overload_for: float
+    ask_within: float = 0.0  # how old a list asked for may be; 0: not told
+    stop_sending_within: float = 0.0  # the grace of a drain
 
 
 class Settings(Struct, frozen=True):
--- a/maddercart/net/loop.py
+++ b/maddercart/net/loop.py
@@ -11,6 +11,7 @@
 from typing import NamedTuple
 
 from maddercart.interface import MILLISECOND, SECOND
+from maddercart.net.machine import MACHINE, Machine
 
 log = logging.getLogger(__name__)
 
@@ -60,9 +61,9 @@
 class Loop:
     SPARE = 1024  # timers of tasks that are over and are not worth a clearing
 
-    def __init__(self, clock: Callable[[], int]) -> None:
-        self.clock = clock
-        self.epoll = select.epoll()
+    def __init__(self, clock: Callable[[], int], machine: Machine = MACHINE) -> None:
+        self.clock, self.machine = clock, machine
+        self.epoll = machine.epoll()
         self.waiting: dict[int, Task] = {}  # by descriptor
         self.resting: dict[int, Callable[[], None]] = {}  # by descriptor: what is called once it is readable
         self.known: dict[int, int] = {}  # descriptors in the epoll set, and what is asked of it
--- /dev/null
+++ b/maddercart/net/machine.py
@@ -0,0 +1,18 @@
+"""Where descriptors come from. The rig has a stand-in for it, with a network and a clock of its own."""
+
+import select
+import socket
+
+
+class Machine:
+    def epoll(self) -> select.epoll:
+        return select.epoll()
+
+    def tcp(self) -> socket.socket:
+        return socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+
+    def udp(self) -> socket.socket:
+        return socket.socket(socket.AF_INET, socket.SOCK_DGRAM | socket.SOCK_NONBLOCK)
+
+
+MACHINE = Machine()
--- a/maddercart/net/sockets.py
+++ b/maddercart/net/sockets.py
@@ -6,6 +6,7 @@
 from collections.abc import Generator
 
 from maddercart.net.loop import READ, TIME_UP, WRITE, Loop, Wait
+from maddercart.net.machine import MACHINE, Machine
 
 CHUNK = 65536  # read at once: what the largest body and its headers need, in two reads at most
 BACKLOG = 512  # connections that the machine takes before we do: some hundreds may come at once
@@ -18,8 +19,8 @@
     return host, int(port)
 
 
-def listen(at: tuple[str, int], backlog: int = BACKLOG) -> socket.socket:
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+def listen(at: tuple[str, int], backlog: int = BACKLOG, machine: Machine = MACHINE) -> socket.socket:
+    sock = machine.tcp()
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     sock.bind(at)
     sock.listen(backlog)
--- a/maddercart/rig/commands.py
+++ b/maddercart/rig/commands.py
@@ -12,6 +12,7 @@
     app.command()(standin)
     app.command()(load)
     app.command()(demo)
+    app.command()(plays)
 
 
 def loopback(text: str) -> tuple[str, int]:
@@ -129,3 +130,26 @@
     outcome, _ = play(rate, seconds, lost, back, say=lambda text: typer.echo(text))
     table = outcome.table()
     typer.echo("in all: " + ", ".join(f"{name} {value:g}" for name, value in table.items()))
+
+
+def plays(
+    first: Annotated[int, typer.Option(min=0, help="seed of the first play")] = 0,
+    count: Annotated[int, typer.Option(min=1, max=10_000)] = 20,
+) -> None:
+    """Generated deployments: the real sidecar code on a stand-in network, with drains, silent and failing
+    discovery, moves and restarts; a line for each and for each broken rule. Exit code 1 if one broke."""
+    import logging
+
+    from maddercart.rig.plays import play
+
+    logging.disable(logging.CRITICAL)
+    broke = 0
+    for seed in range(first, first + count):
+        figures = play(seed)
+        broke += bool(figures.broken)
+        counted = f"asked {figures.asked}, done {figures.done}, withdrawn {figures.withdrawn}"
+        typer.echo(f"{seed}: {figures.words}; {counted}; rules {'BROKEN' if figures.broken else 'kept'}")
+        for line in figures.broken[:5]:
+            typer.echo(f"    {line}")
+    typer.echo(f"{count} plays, rules broken in {broke}")
+    raise typer.Exit(1 if broke else 0)
--- a/maddercart/sidecar/backing.py
+++ b/maddercart/sidecar/backing.py
@@ -8,7 +8,6 @@
 from maddercart.logic import Balancer
 from maddercart.messages.upstreams import Listing
 from maddercart.net.loop import Loop
-from maddercart.sidecar.clock import Clock
 from maddercart.sidecar.decisions import Decisions
 from maddercart.sidecar.dispatches import Dispatcher
 from maddercart.sidecar.endings import Ending, of_status
@@ -20,13 +19,13 @@
     """`arguments` are the `Balancer`'s, but for clock and seed; `follow` is called when it wants the list."""
 
     def __init__(
-        self, loop: Loop, clock: Clock, seed: int, zones: Sequence[str], kinds: Sequence[str],
+        self, loop: Loop, clock: Callable[[], int], seed: int, zones: Sequence[str], kinds: Sequence[str],
         arguments: Mapping[str, Any], follow: Callable[[], None],
         meaning: Callable[[int, bool], Ending] = of_status,
     ) -> None:  # fmt: skip
         self.upstreams = Upstreams(zones, kinds)
         self.pool = Pool(loop, clock, self.upstreams.ready)
-        self.dispatcher = Dispatcher(self.pool, clock, meaning)
+        self.dispatcher = Dispatcher(self.pool, clock, self.upstreams.may_send, meaning)
         balancer = Balancer(clock(), seed, **arguments)
         self.heard: set[int] = set()
         self.decisions = Decisions(loop, clock, balancer, self.upstreams, self.dispatcher, follow)
@@ -34,22 +33,27 @@
     def ready(self) -> bool:
         return bool(self.upstreams.ready)
 
-    def learn(self, listing: Listing) -> None:
-        """From discovery, or as it was last known; what was only heard before is taken back."""
+    def learn(self, listings: Sequence[Listing]) -> None:
+        """From discovery, or as it was last known; what was only heard before is taken back. Decided is only
+        when all of it is known: held queries went out by what was taken back, or by a line that the next one
+        of the same read had overtaken."""
+        told: list[tuple[Sequence[Entry], bool]] = []
         if self.heard:
-            told = self.upstreams.entries
-            self.decisions.learn([told[number] for number in sorted(self.heard) if number in told], False)
+            known = self.upstreams.entries
+            told.append(([known[number] for number in sorted(self.heard) if number in known], False))
             self.heard.clear()
-        self.decisions.learn(self.upstreams.learn(listing), listing.whole)
+        told += [(self.upstreams.learn(listing), listing.whole) for listing in listings]
+        self.decisions.learn(*told)
         self.pool.drop_unwanted()
 
     def hear(self, entries: list[Entry]) -> None:
         """From other sidecars, while discovery has not spoken. The version stays: it tells all changes."""
         self.heard.update(entry.upstream for entry in entries)
-        self.decisions.learn(entries, False)
+        self.upstreams.hear(entries)
+        self.decisions.learn((entries, False))
 
-    def list_failed(self) -> None:
-        self.decisions.list_failed()
+    def list_failed(self, left: int | None = None) -> None:
+        self.decisions.list_failed(left)
 
     def limit(self, connections: int, bodies: int, idle_close: int, connect_timeout: int) -> None:
         """What may change under load: connections at once, bytes of bodies, nanoseconds."""
--- a/maddercart/sidecar/decisions.py
+++ b/maddercart/sidecar/decisions.py
@@ -15,6 +15,7 @@
 from maddercart.net.loop import SOON, Coroutine, Loop, Task, Wait
 from maddercart.sidecar.dispatches import Dispatcher, Ended
 from maddercart.sidecar.endings import OUTCOMES, Ending
+from maddercart.sidecar.pool import Address
 from maddercart.sidecar.upstreams import Upstreams
 
 log = logging.getLogger(__name__)
@@ -39,6 +40,8 @@
     upstream: int
     sent: int
     task: Task | None = None
+    dial: Address | None = None
+    begun: bool = False  # its connection is up: whether it is still written is asked there, not here
 
 
 class Decisions:
@@ -78,16 +81,26 @@
             self.balancer.left(self.clock(), number)
             self.settle()
 
-    def learn(self, entries: Sequence[Entry], whole: bool) -> None:
-        self.balancer.learn(self.clock(), entries, whole)
+    def learn(self, *told: tuple[Sequence[Entry], bool]) -> None:
+        """Lists, or changes of one, in their order: nothing is decided before the last of them is known."""
+        for entries, whole in told:
+            self.balancer.learn(self.clock(), entries, whole)
+        self.recall()
         self.settle()
 
+    def recall(self) -> None:
+        """What is on its way to an upstream that gets nothing new goes elsewhere now, not once its connection
+        is up or its time for that has passed."""
+        for out in [out for out in self.out.values() if not out.begun and out.task is not None]:
+            if out.dial is not None and not self.dispatcher.may_send(out.upstream, out.dial):
+                self.withdraw(out, Ending.WITHDRAWN)
+
     def renew(self, terms: Mapping[str, Any]) -> None:
         self.balancer.renew(self.clock(), **terms)
         self.settle()
 
-    def list_failed(self) -> None:
-        self.balancer.list_failed(self.clock())
+    def list_failed(self, left: int | None = None) -> None:
+        self.balancer.list_failed(self.clock(), *(() if left is None else (left,)))
         self.settle()
 
     def woken(self) -> None:
@@ -177,8 +190,14 @@
         self.ended(out, ended)
 
     def send(self, query: Query, out: Out, until: int) -> Generator[Wait, int, Ended]:
-        dial = self.upstreams.dials.get(out.upstream)
-        return (yield from self.dispatcher.send(query, out.upstream, dial, until))
+        out.dial = dial = self.upstreams.dials.get(out.upstream)
+
+        def begin() -> bool:
+            # Guards against repeats that go out after their window, on a connection that came up late.
+            out.begun = True
+            return self.balancer.may_begin(self.clock(), out.number)
+
+        return (yield from self.dispatcher.send(query, out.upstream, dial, until, begin))
 
     def probe(self, sent: int, upstream: int) -> Coroutine:
         """Told in a turn of its own: a decision that is being carried out is not answered inside the pull."""
@@ -187,7 +206,8 @@
             if self.probe_by is not None:
                 query = self.probe_by(upstream)
                 dial = self.upstreams.dials.get(upstream)
-                ended = yield from self.dispatcher.send(query, upstream, dial, sent + query.remaining)
+                until = sent + query.remaining
+                ended = yield from self.dispatcher.send(query, upstream, dial, until, lambda: True)
         except Exception:
             log.exception("probe failed")
 
@@ -201,10 +221,15 @@
         self.loop.at(self.clock(), told)
 
     def cancel(self, number: int, shot: int) -> None:
-        out = self.out.pop((number, shot), None)
-        if out is not None and out.task is not None:
+        if (out := self.out.get((number, shot))) is not None:
+            self.withdraw(out, Ending.CLOSED_BY_US)
+
+    def withdraw(self, out: Out, ending: Ending) -> None:
+        """Its connection is closed before anything else is sent for its query."""
+        del self.out[out.number, out.shot]
+        if out.task is not None:
             self.loop.end(out.task)
-            self.arisen.append((out, (Ending.CLOSED_BY_US, None)))
+            self.arisen.append((out, (ending, None)))
 
     def answer(self, number: int, how: str, reply: Reply) -> None:
         if (held := self.held.pop(number, None)) is not None:
--- a/maddercart/sidecar/discovery.py
+++ b/maddercart/sidecar/discovery.py
@@ -1,13 +1,16 @@
-"""Follows the list: one watch at a time. When to ask again after a failure is the module's to say."""
+"""Follows the list: one watch at a time, and beside it the one of a service that is being left. When to ask
+again after a failure is the module's to say.
+
+What counts as told, and when, and which code keeps it: docs/told.md."""
 
 import logging
 import socket
-from collections.abc import Callable, Generator
+from collections.abc import Callable, Generator, Sequence
 
 import msgspec
 
 from maddercart.http.watch import NoList, WatchFailed, WatchSide
-from maddercart.interface import SECOND
+from maddercart.interface import MILLISECOND, SECOND
 from maddercart.messages.upstreams import Listing, read_listing
 from maddercart.net.loop import FIRST, Coroutine, Loop, Task, Wait
 from maddercart.net.sockets import close, connect, read, write
@@ -15,19 +18,44 @@
 
 log = logging.getLogger(__name__)
 
-ANSWER_WITHIN = 3 * SECOND  # of a call: a service that works through calls in turn may take a second or two
-SILENCE = 5 * SECOND  # two of the empty lines that come every 2 s are missing, and some more
+# Empty lines come every 2 s, and what a silent watch misses counts as told 6 s after its last line: one line
+# is missing and a third of another, and more than half of the 6 s is left for the calls that make up for it.
+SILENCE = 2750 * MILLISECOND
+# Of a call: first, and at most after others whose time was up. A service that works through calls in turn may
+# take a second or two, and one given up too soon only goes to the end of its line; but after silence, or when
+# discovery has moved, there has to be time for a second call within 4 s.
+ANSWER_WITHIN, ANSWER_MOST = 1500 * MILLISECOND, 6 * SECOND
+# By the operators' page: what a silent watch misses counts as told so long after its last line, and what
+# discovery has to tell so long after SIGHUP has named another one.
+SILENT_COUNTS, MOVED_COUNTS = 6 * SECOND, 4 * SECOND
+
+
+class Call:
+    """One conversation with a service."""
+
+    def __init__(self, sock: socket.socket, at: tuple[str, int], version: int | None) -> None:
+        self.at = at
+        self.version = version  # of its list that is known here; None: it is asked for the whole one
+        self.sock = sock
+        self.side = WatchSide(f"{at[0]}:{at[1]}")
+        self.task: Task | None = None
+        self.heard = 0  # last on its watch
+        self.begun = 0  # when the value began that is coming in, 0 if none is
 
 
 class Discovery:
     def __init__(
         self, loop: Loop, clock: Callable[[], int], at: tuple[str, int], upstreams: Upstreams,
-        learn: Callable[[Listing], None], failed: Callable[[], None],
+        learn: Callable[[Sequence[Listing]], None], failed: Callable[[int | None], None],
     ) -> None:  # fmt: skip
         self.loop, self.clock, self.at, self.upstreams = loop, clock, at, upstreams
         self.learn, self.failed = learn, failed
         self.following = False
-        self.task: Task | None = None
+        self.anew = False  # the list known is not one of this service's, or changes on it will not do
+        self.within = ANSWER_WITHIN
+        self.due: int | None = None  # when what is missed meanwhile counts as told
+        self.current: Call | None = None
+        self.former: Call | None = None  # of the service that is being left, until the new one has spoken
 
     def follow(self) -> None:
         """Among its fellows in a turn it comes first: a drain counts as soon as it is told."""
@@ -36,84 +64,154 @@
             self.loop.at(self.clock(), self.begin)
 
     def begin(self) -> None:
-        self.task = self.loop.spawn(self.watch(), FIRST)
+        if not self.following or self.current is not None:
+            return
+        try:
+            call = Call(self.loop.machine.tcp(), self.at, None if self.anew else self.upstreams.version)
+        except Exception as error:
+            self.ended(None, error)
+            return
+        self.current = call
+        call.task = self.loop.spawn(self.converse(call), FIRST)
 
     def move(self, at: tuple[str, int]) -> None:
         """Follows another service from now on. Its versions are its own, so it is asked for the whole list;
         the one that is known stays in use until that has come."""
         if at != self.at:
             log.info("discovery moves", extra={"to": f"{at[0]}:{at[1]}", "seq": self.upstreams.version})
-            self.at = at
+            self.at, self.due = at, self.clock() + MOVED_COUNTS
             self.begin_anew()
 
     def begin_anew(self) -> None:
-        """Asks for the whole list: changes alone do not tell of what was passed over, or placed otherwise."""
-        self.upstreams.version = None
-        if self.task is not None:
-            self.loop.end(self.task)
-            self.task, self.following = None, False
+        """Asks for the whole list: changes alone do not tell of what was passed over, or placed otherwise.
+        Until it has come the watch that was open goes on: a drain told on it meanwhile counts as well."""
+        self.anew, self.within = True, ANSWER_WITHIN
+        if (call := self.current) is not None:
+            self.current, self.following = None, False
+            if self.former is None and call.version is not None:
+                self.former = call
+            else:
+                self.end(call)
         self.follow()
 
-    def watch(self) -> Coroutine:
+    def close(self) -> None:
+        """Asks nothing any more."""
+        for call in (self.current, self.former):
+            if call is not None:
+                self.end(call)
+        self.current = self.former = None
+        self.following = False
+
+    def news(self) -> bool:
+        """Something has been written here that was not read yet, or the end of it."""
+        for call in (self.current, self.former):
+            if call is not None and call.sock.fileno() >= 0 and call.side.asked:
+                try:
+                    call.sock.recv(1, socket.MSG_PEEK)
+                except BlockingIOError:
+                    continue
+                except OSError:
+                    pass
+                return True
+        return False
+
+    # -- a conversation
+
+    def end(self, call: Call) -> None:
+        if call.task is not None:
+            self.loop.end(call.task)
+
+    def converse(self, call: Call) -> Coroutine:
         """However it ends, the module is told, or nobody would ever ask again."""
+        fault: Exception
         try:
-            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
             try:
-                yield from self.converse(sock)
+                yield from self.watch(call)
             finally:
-                close(self.loop, sock)
-        except (WatchFailed, OSError) as error:
-            seq = self.upstreams.version
-            log.warning("watch of the list ended", extra={"reason": str(error), "seq": seq})
-        except Exception:
-            log.exception("watch failed")
-        self.task, self.following = None, False
-        self.failed()
-
-    def converse(self, sock: socket.socket) -> Generator[Wait, int, None]:
+                close(self.loop, call.sock)
+        except Exception as error:
+            fault = error
+        self.ended(call, fault)
+
+    def ended(self, call: Call | None, fault: Exception) -> None:
+        if isinstance(fault, WatchFailed | OSError):
+            which = "former watch" if self.left(call) else "watch"
+            words = {"reason": str(fault), "seq": self.upstreams.version}
+            log.warning(f"{which} of the list ended", extra=words)
+        else:
+            log.error("watch failed", exc_info=fault)
+        if self.left(call):
+            self.former = None
+            return
+        if isinstance(fault, NoList):
+            self.anew = True
+        self.current, self.following = None, False
+        left = self.due - self.clock() if self.due is not None else 0
+        self.failed(left if left > 0 else None)
+
+    def left(self, call: Call | None) -> bool:
+        return call is not None and call is self.former
+
+    def watch(self, call: Call) -> Generator[Wait, int, None]:
         """Ends by an exception only."""
-        until = self.clock() + ANSWER_WITHIN
-        if not (yield from connect(self.loop, sock, self.at, until)):
+        side, until = call.side, self.clock() + self.within
+        self.within = min(2 * self.within, ANSWER_MOST)  # unless it answers
+        if not (yield from connect(self.loop, call.sock, call.at, until)):
             raise WatchFailed("the connection never came up")
-        side = WatchSide(f"{self.at[0]}:{self.at[1]}")
-        while self.upstreams.version is None:
-            yield from self.ask(sock, side, "/api/targets", until)
+        while call.version is None:
+            yield from self.ask(call, "/api/targets", until)
             while not side.ended:
-                yield from self.receive(sock, side, until)
-        target = f"/api/targets?watch=1&after={self.upstreams.version}"
-        yield from self.ask(sock, side, target, until)
+                yield from self.receive(call, until)
+        yield from self.ask(call, f"/api/targets?watch=1&after={call.version}", until)
         while not side.ended:
-            yield from self.receive(sock, side, until)
-            until = self.clock() + SILENCE
+            yield from self.receive(call, until)
+            call.heard = self.clock()
+            until = call.heard + SILENCE
         raise WatchFailed("discovery ended the watch")
 
-    def ask(
-        self, sock: socket.socket, side: WatchSide, target: str, until: int
-    ) -> Generator[Wait, int, None]:
-        if not (yield from write(sock, side.request(target), until)):
+    def ask(self, call: Call, target: str, until: int) -> Generator[Wait, int, None]:
+        if not (yield from write(call.sock, call.side.request(target), until)):
             raise WatchFailed("discovery takes no request")
 
-    def receive(self, sock: socket.socket, side: WatchSide, until: int) -> Generator[Wait, int, None]:
-        data = yield from read(sock, until)
+    def receive(self, call: Call, until: int) -> Generator[Wait, int, None]:
+        # Guards against a list without end: as long as something came it would have passed for news.
+        data = yield from read(call.sock, min(until, call.begun + ANSWER_MOST) if call.begun else until)
         if data is None:
-            raise WatchFailed("discovery is silent")
+            if call.heard and not self.left(call):
+                self.due = call.heard + SILENT_COUNTS
+            raise WatchFailed("discovery is silent" if not call.begun else "a list did not come to its end")
+        values = call.side.feed(data)
+        call.begun = (call.begun or self.clock()) if call.side.part and not values else 0
+        if values:
+            self.take(call, values)
+
+    def take(self, call: Call, values: Sequence[bytes]) -> None:
+        """All that was read at once is learnt at once. After what can't be read, or goes back, the whole list
+        is asked for."""
+        listings: list[Listing] = []
         try:
-            values = side.feed(data)
-        except NoList:
-            self.upstreams.version = None
-            raise
-        for value in values:
-            self.take(value)
-
-    def take(self, value: bytes) -> None:
-        """After one that can't be read, or that goes back, the whole list is asked for."""
-        version, self.upstreams.version = self.upstreams.version, None
+            for value in values:
+                listings.append(self.listing(call, value))
+        finally:
+            if listings:
+                self.took(call, listings)
+
+    def listing(self, call: Call, value: bytes) -> Listing:
         try:
             listing = read_listing(value)
         except msgspec.MsgspecError as error:
-            raise WatchFailed(f"what came is no list: {error}") from error
-        if not listing.whole and version is None:
-            raise WatchFailed("changes came where the whole list was asked for")
-        if not listing.whole and version is not None and listing.seq < version:
-            raise WatchFailed(f"the version went back from {version} to {listing.seq}")
-        self.learn(listing)
+            raise NoList(f"what came is no list: {error}") from error
+        if not listing.whole and call.version is None:
+            raise NoList("changes came where the whole list was asked for")
+        if not listing.whole and call.version is not None and listing.seq < call.version:
+            raise NoList(f"the version went back from {call.version} to {listing.seq}")
+        call.version = listing.seq
+        return listing
+
+    def took(self, call: Call, listings: Sequence[Listing]) -> None:
+        if not self.left(call):
+            self.within, self.anew, self.due = ANSWER_WITHIN, False, None
+            if self.former is not None:
+                self.end(self.former)
+                self.former = None
+        self.learn(listings)
--- a/maddercart/sidecar/dispatches.py
+++ b/maddercart/sidecar/dispatches.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Generator
 
 from maddercart.http.upstream import Malformed, WholeAnswer
+from maddercart.interface import MILLISECOND
 from maddercart.messages.answer import Answer, read_answer
 from maddercart.messages.query import Query
 from maddercart.net.loop import Wait
@@ -17,19 +18,25 @@
 
 
 class Dispatcher:
+    LOOKED = 5 * MILLISECOND  # ago: less is within what the list itself is late by
+
     def __init__(
-        self, pool: Pool, clock: Callable[[], int], meaning: Callable[[int, bool], Ending] = of_status
-    ) -> None:
-        """`meaning` tells an answer's ending from its status and whether it says that it never ran."""
-        self.pool, self.clock, self.meaning = pool, clock, meaning
+        self, pool: Pool, clock: Callable[[], int], may_send: Callable[[int, Address], bool],
+        meaning: Callable[[int, bool], Ending] = of_status,
+    ) -> None:  # fmt: skip
+        """`may_send` tells whether an upstream may get something new at an address, by all that was told up
+        to now; `meaning` an answer's ending from its status and whether it says that it never ran."""
+        self.pool, self.clock, self.may_send, self.meaning = pool, clock, may_send, meaning
+        self.news: Callable[[], bool] = lambda: False  # told already, but not read yet
         self.connect_timeout = 0
         self.bodies = self.most_bodies = 0  # bytes of answers that have come in part, and how many may
 
     def send(
-        self, query: Query, upstream: int, dial: Address | None, until: int
+        self, query: Query, upstream: int, dial: Address | None, until: int, begin: Callable[[], bool]
     ) -> Generator[Wait, int, Ended]:
-        """Sends it once and never again by itself. However it ends, its connection is closed or at rest
-        before that is told, so that nothing further goes out beside it."""
+        """Sends it once and never again by itself; `begin` says ahead of its first byte whether it still
+        may. However it ends, its connection is closed or at rest before that is told, so that nothing goes
+        out beside it."""
         if dial is None:
             return Ending.NO_ADDRESS, None
         connection, keep = self.pool.take(upstream, dial), False
@@ -39,6 +46,13 @@
         try:
             if fresh and (ending := (yield from self.bring_up(connection, until))) is not None:
                 return ending, None
+            # Guards against a drain that was told while the connection came up: a send counts from its first
+            # byte, not from the choice, and 250 ms lay between them.
+            # In a long turn, as with little of a core, the list may have changed since the look.
+            while self.clock() - self.pool.loop.looked > self.LOOKED and self.news() and self.clock() < until:
+                yield Wait(until=self.clock())
+            if not (begin() and self.may_send(upstream, dial)):
+                return Ending.WITHDRAWN, None
             ending = yield from self.write(connection, query, until)
             if ending is not None:
                 return ending, None
--- a/maddercart/sidecar/endings.py
+++ b/maddercart/sidecar/endings.py
@@ -9,6 +9,7 @@
 class Ending(Enum):
     NO_ADDRESS = auto()  # the upstream has left the list meanwhile
     NO_DESCRIPTOR = auto()  # none is left for a further connection
+    WITHDRAWN = auto()  # told to drain, gone or moved before the first byte was written
     REFUSED = auto()  # the connection was refused
     NEVER_CAME_UP = auto()  # within the time for that or within the dispatch's own
     BROKE_UNWRITTEN = auto()  # before the request's last byte was written
@@ -24,12 +25,13 @@
     FAULT = auto()  # our own code failed on it
 
 
-# What is not known never to have run may have run: all but the first six and TURNED_AWAY. What is our own
-# lack (the first two) is MOOT, which the module holds against no upstream; nor does it a kept connection that
-# broke: upstreams and what is between close those at any time, and one that has died refuses a new one.
+# What is not known never to have run may have run: all but the first seven and TURNED_AWAY. What was not
+# tried (the first three) is MOOT, which the module holds against no upstream; nor does it a kept connection
+# that broke: upstreams and what is between close those at any time, and one that has died refuses a new one.
 OUTCOMES: Final = {
     Ending.NO_ADDRESS: MOOT,
     Ending.NO_DESCRIPTOR: MOOT,
+    Ending.WITHDRAWN: MOOT,
     Ending.REFUSED: UNREACHABLE,
     Ending.NEVER_CAME_UP: UNREACHABLE,
     Ending.BROKE_UNWRITTEN: UNREACHABLE,
--- a/maddercart/sidecar/node.py
+++ b/maddercart/sidecar/node.py
@@ -2,12 +2,12 @@
 
 import gc
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from resource import RLIMIT_NOFILE, getrlimit
 
 from msgspec.structs import replace
 
-from maddercart.interface import SECOND
+from maddercart.interface import MILLISECOND, SECOND
 from maddercart.messages.config import Config
 from maddercart.messages.upstreams import Listing
 from maddercart.net.loop import Coroutine, Loop, Wait
@@ -30,14 +30,20 @@
 # Of the memory for bodies that are coming in: a copy of each goes out, and the program needs its own 30 MB.
 BODIES = 0.15
 COUNTS_EVERY = 10 * SECOND
+# Where lists are pushed, what the agent has counts as told from a process's first moment: nothing is sent
+# before its first word. What comes meanwhile waits that long before it is bounced: an agent takes less.
+# Without a word at all the list last known is gone by: discovery that is down must not keep a start from
+# being ready, for which there are 30 s.
+FIRST_WORD, WITHOUT_WORD = 100 * MILLISECOND, 20 * SECOND
 
 
 class Node:
-    def __init__(self, config: Config, again: Callable[[], Config]) -> None:
+    def __init__(self, config: Config, again: Callable[[], Config], loop: Loop | None = None) -> None:
         """`again` reads the configuration anew; raises `OSError` or `ValueError` if it can't be used."""
-        settings, clock = config.settings, Clock()
+        self.loop = loop or Loop(Clock())
+        settings, clock = config.settings, self.loop.clock
         self.config, self.again = config, again
-        self.loop, self.clock = Loop(clock), clock
+        self.clock = clock
         self.backing = Backing(
             self.loop, clock, int(config.seed, 16), settings.zones, settings.kinds, arguments(config),
             lambda: self.discovery.follow(),
@@ -47,6 +53,8 @@
         self.discovery = Discovery(
             self.loop, clock, address(config.discovery), self.upstreams, self.learn, self.list_failed
         )  # fmt: skip
+        self.backing.dispatcher.news = self.discovery.news
+        self.unsaid: Listing | None = None  # the list last known, not gone by before discovery's first word
         self.peers: Peers | None = None
         if peering(config):
             self.peers = Peers(
@@ -57,7 +65,7 @@
         self.applications = Applications(self.loop, clock, self.front, self.decisions.counts)
         self.longest = 0
         self.limit(config)
-        self.listener = listen(address(config.listen))
+        self.listener = listen(address(config.listen), machine=self.loop.machine)
 
     def limit(self, config: Config) -> None:
         """What may change under load."""
@@ -113,22 +121,41 @@
 
     def start(self) -> None:
         """The list last known comes before any query."""
-        self.backing.learn(self.config.known)
+        if self.config.settings.discovery == "push":
+            self.unsaid, self.upstreams.version = self.config.known, self.config.known.seq
+            self.loop.at(self.clock() + FIRST_WORD, self.accept)
+            self.loop.at(self.clock() + WITHOUT_WORD, self.go_by_known)
+            self.discovery.follow()
+        else:
+            self.backing.learn([self.config.known])
+            self.accept()
         if self.peers is not None:
             self.peers.ask()
-        self.applications.acceptor = self.loop.spawn(self.applications.accept_from(self.listener))
         self.loop.spawn(self.tell())
         self.loop.spawn(self.pool.sweep())
 
-    def learn(self, listing: Listing) -> None:
-        self.backing.learn(listing)
+    def accept(self) -> None:
+        if self.applications.acceptor is None and not self.applications.stopping:
+            self.applications.acceptor = self.loop.spawn(self.applications.accept_from(self.listener))
+
+    def go_by_known(self) -> None:
+        if self.unsaid is not None:
+            log.warning("no word of discovery, going by the list last known", extra={"seq": self.unsaid.seq})
+            known, self.unsaid = self.unsaid, None
+            self.backing.learn([known])
+
+    def learn(self, listings: Sequence[Listing]) -> None:
+        """From discovery; the first time what it tells is a change of what was last known."""
+        known, self.unsaid = self.unsaid, None
+        self.backing.learn([known, *listings] if known is not None else listings)
+        self.accept()
         if self.peers is not None:
             self.peers.follows(True)
 
-    def list_failed(self) -> None:
+    def list_failed(self, left: int | None) -> None:
         if self.peers is not None:
             self.peers.follows(False)
-        self.backing.list_failed()
+        self.backing.list_failed(left)
 
     def stop(self) -> None:
         stopping = stop(self.loop, self.clock, self.listener, self.applications, self.longest, self.leave)
--- a/maddercart/sidecar/peers.py
+++ b/maddercart/sidecar/peers.py
@@ -6,7 +6,6 @@
 taken back once discovery speaks itself."""
 
 import logging
-import socket
 from collections import Counter, defaultdict
 from collections.abc import Callable, Mapping, Sequence
 
@@ -38,7 +37,7 @@
         self.asked = -APART
         self.said: dict[Word, set[Address]] = defaultdict(set)
         self.answered: dict[Address, list[int]] = {}
-        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM | socket.SOCK_NONBLOCK)
+        self.sock = loop.machine.udp()
         self.sock.bind(at)
         self.task: Task = loop.spawn(self.receive())
 
--- a/maddercart/sidecar/pool.py
+++ b/maddercart/sidecar/pool.py
@@ -65,7 +65,7 @@
         if self.count >= self.most:
             return None
         try:
-            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+            sock = self.loop.machine.tcp()
         except OSError:
             return None
         self.count += 1
--- a/maddercart/sidecar/upstreams.py
+++ b/maddercart/sidecar/upstreams.py
@@ -14,7 +14,7 @@
 
 log = logging.getLogger(__name__)
 
-GONE_KEPT = 256  # upstreams that have gone: a release of that many between two starts can still be told
+GONE_KEPT = 4096  # upstreams that have gone: a release of half as many can still be told to a start
 CONDITIONS = {"SERVING": READY, "DRAINING": DRAINING, "DELETED": GONE}
 
 
@@ -31,6 +31,7 @@
         self.names: dict[int, str] = {}
         self.dials: dict[int, tuple[str, int]] = {}  # of those that are listed, drains among them
         self.ready: set[int] = set()
+        self.closed: set[int] = set()  # by the word of other sidecars, until discovery speaks
         self.version: int | None = None  # None: the whole list must be asked for
         self.entries: dict[int, Entry] = {}  # as the list last told each, what has gone among them
         self.changed: dict[int, int] = {}  # in which version that was, the latest last
@@ -48,8 +49,9 @@
         )
 
     def learn(self, listing: Listing) -> list[Entry]:
-        """The lines that can be read. Another that could not be is passed over and logged once."""
+        """The lines that can be read. Another is logged once, and its upstream closed if it can be told."""
         self.version = listing.seq
+        self.closed.clear()
         if listing.whole:
             self.names.clear()
             self.dials.clear()
@@ -58,6 +60,17 @@
         self.remember(listing, entries)
         return entries
 
+    def hear(self, entries: Sequence[Entry]) -> None:
+        """Of other sidecars: it closes what discovery has left open here, and opens that again."""
+        for entry in entries:
+            (self.closed.discard if entry.condition == READY else self.closed.add)(entry.upstream)
+
+    def may_send(self, upstream: int, dial: tuple[str, int]) -> bool:
+        """Whether it may get something new there, by all that was told up to now. Whoever writes a query's
+        first byte asks this."""
+        open_ = upstream in self.ready and upstream not in self.closed
+        return open_ and self.dials.get(upstream) == dial
+
     def remember(self, listing: Listing, entries: Sequence[Entry]) -> None:
         """For those who have an older version of it."""
         listed = {entry.upstream for entry in entries}
@@ -84,7 +97,17 @@
             if reason not in self.logged and len(self.logged) < 100:  # a bad list must not fill memory
                 self.logged.add(reason)
                 log.warning("list entry passed over", extra={"reason": reason})
+            return self.close(line)
+
+    def close(self, line: object) -> Entry | None:
+        """Guards against a change that can't be read leaving its upstream as it was: nothing new goes there
+        until a line of it can be read."""
+        host = line.get("host") if isinstance(line, dict) else None
+        number = number_of(host) if isinstance(host, str) else 0
+        if (known := self.entries.get(number)) is None:
             return None
+        self.ready.discard(number)
+        return known._replace(condition=DRAINING)
 
     def entry(self, host: Host) -> Entry:
         if host.health not in CONDITIONS or host.site not in self.zones:
--- a/maddercart/translation.py
+++ b/maddercart/translation.py
@@ -43,6 +43,22 @@
     )
 
 
+# A fleet whose discovery is down must not ask it without a pause. Where lists are pushed it is the smallest
+# grace there is: what an agent that is back has to tell counts from then on.
+STALE_LEAST, PUSHED_LEAST = i.SECOND // 2, 50 * i.MILLISECOND
+
+
+def stale(settings: Settings) -> int:
+    """Where lists are pushed, what is not read yet counts as told, so that the grace is all there is; without
+    a figure nobody is held to one."""
+    pushed, rules = settings.discovery == "push", settings.rules
+    ask = nanos("rules.ask_within", rules.ask_within)
+    grace = nanos("rules.stop_sending_within", rules.stop_sending_within)
+    held_to = grace if pushed else ask
+    least = PUSHED_LEAST if pushed else STALE_LEAST
+    return max(held_to, least) if held_to else i.Permits._field_defaults["stale"]
+
+
 def balancer_arguments(settings: Settings) -> dict[str, Any]:
     """The arguments of `Balancer`, but for the clock and the seed."""
     limits, rules, zones = settings.limits, settings.rules, max(1, len(settings.zones))
@@ -83,5 +99,6 @@
             streams=int(number("limits.max_streams", limits.max_streams, "count", least=1)),
             crossing=number("charges.cross_zone", settings.charges.cross_zone, "price"),
             follow=settings.discovery == "ask",
+            stale=stale(settings),
         ),
     }
