--- a/maddercart/interface.py
+++ b/maddercart/interface.py
@@ -43,6 +43,7 @@
     ("note", text)                         a line for whoever is on call
 """
 
+from collections.abc import Sequence
 from typing import Final, NamedTuple
 
 SECOND: Final = 1_000_000_000
@@ -108,6 +109,25 @@
     agreed: int
     earnings: float
     late_earnings: float
+    zones: frozenset[int] | None = None  # the only ones that it may be sent to; None: any
+    kinds: frozenset[int] | None = None  # likewise of machines
+
+    @property
+    def bound(self) -> bool:
+        return self.zones is not None or self.kinds is not None
+
+    def renumbered(self, zones: Sequence[int], kinds: Sequence[int]) -> "Offering":
+        """With other numbers: what each former one is now, -1 if there is none."""
+
+        def now(places: frozenset[int] | None, given: Sequence[int]) -> frozenset[int] | None:
+            return places and frozenset(given[place] for place in places if given[place] >= 0)
+
+        return self._replace(zones=now(self.zones, zones), kinds=now(self.kinds, kinds))
+
+    def open_to(self, entry: Entry) -> bool:
+        return (self.zones is None or entry.zone in self.zones) and (
+            self.kinds is None or entry.kind in self.kinds
+        )
 
 
 class Place(NamedTuple):
@@ -139,4 +159,5 @@
     moving: bool = False  # the list's sizes are lowered by what an upstream holds: size / (1 + held a core)
     streams: int = 1  # queries that a connection to an upstream carries at once
     crossing: float = 0.0  # what a dispatch to another zone costs, in earnings of a query
+    drains: bool = False  # only draining binds, whatever the list tells later, until a restart
     stale: int = 1 << 62  # how old the list may be: calls that fail are made again well within that
--- a/maddercart/logic.py
+++ b/maddercart/logic.py
@@ -17,9 +17,9 @@
 from random import Random
 
 from maddercart.interface import (
-    CANCELLED, DONE, EVERYWHERE, FULL, GONE, IRREVERSIBLE, LABELLED, MILLISECOND, MOOT, NEVER_RAN, READY,
-    REDOABLE, RESET, SAME_ZONE, SECOND, TIMED_OUT, UNREACHABLE, ColdRule, Decision, Entry, Offering, Permits,
-    Place, Report,
+    CANCELLED, DONE, DRAINING, EVERYWHERE, FULL, GONE, IRREVERSIBLE, LABELLED, MILLISECOND, MOOT, NEVER_RAN,
+    READY, REDOABLE, RESET, SAME_ZONE, SECOND, TIMED_OUT, UNREACHABLE, ColdRule, Decision, Entry, Offering,
+    Permits, Place, Report,
 )  # fmt: skip
 
 
@@ -47,6 +47,7 @@
 
     def __init__(self, entry: Entry, out: dict[tuple[int, int], tuple[int, int]]) -> None:
         self.entry, self.size, self.told, self.warm_at, self.spent_until = entry, 1.0, 1.0, 0, 0
+        self.rank = 0.0  # by our number, once it was ready: the list of 1,200 is laid anew at each change
         self.shares: deque[float] = deque(maxlen=self.TOLD)  # 1 over the list's last figures of it
         self.most = self.crowd = 0.0  # the figure when it was idle; held a core, and one more
         self.out = out  # dispatch: when sent, how many were out
@@ -59,7 +60,7 @@
         self.canary_due, self.canary_out, self.probe_out = 0, False, False  # due: set while ejected
 
     def renumber(self, zones: Sequence[int], kinds: Sequence[int]) -> None:  # -1: there is none any more
-        zone, kind, self.unsure = self.entry.zone, self.entry.kind, (0, 0)
+        zone, kind, self.unsure, self.rank = self.entry.zone, self.entry.kind, (0, 0), 0.0
         zone = zones[zone] if 0 <= zone < len(zones) else -1
         self.entry = self.entry._replace(zone=zone, kind=kinds[kind] if kind < len(kinds) else kind)
 
@@ -95,10 +96,12 @@
     LEAST = 3  # upstreams used of a zone: a pick of two, and one more to compare them with
     MEET = SECOND  # and as many as get a query of ours within this time: then their answers are fresh
 
+    DRAINED = 4096  # twice the upstreams of the largest fleet: the oldest have long gone
     HUGE = 1e6  # a size beyond any machine's: such a figure, or none, counts as 1
 
     def __init__(self, place: Place, cold: ColdRule, moving: bool) -> None:
         self.by_id: dict[int, Upstream] = {}
+        self.drained: dict[int, int] = {}  # who was seen draining, where that alone binds: launched when
         self.place(place, cold, moving)
 
     def place(self, place: Place, cold: ColdRule, moving: bool) -> None:
@@ -107,8 +110,16 @@
         self.usable = self.cold = self.zones  # of these the warm ones and the cold ones, none ejected
         self.sort_at = 0  # when the next one is warm
 
-    def learn(self, now: int, entries: Sequence[Entry], whole: bool) -> None:
+    def learn(self, now: int, entries: Sequence[Entry], whole: bool, sticky: bool = False) -> None:
         """Who drains or is gone leaves at once: the grace is not used. Forgotten once nothing rests on it."""
+        if sticky:  # it may be left out, or be called ready by mistake, and binds until it has restarted
+            self.drained.update((e.upstream, e.launched) for e in entries if e.condition == DRAINING)
+            while len(self.drained) > self.DRAINED:
+                del self.drained[next(iter(self.drained))]
+            entries = [
+                entry._replace(condition=DRAINING) if self.drained.get(entry.upstream, -1) >= entry.launched
+                and entry.condition == READY else entry for entry in entries
+            ]  # fmt: skip
         for old in self.by_id.values() if whole else ():
             old.entry = old.entry._replace(condition=GONE)
         for entry in entries:
@@ -136,7 +147,9 @@
     def arrange(self) -> None:
         ready = [known for known in self.by_id.values() if known.entry.condition == READY]
         self.weigh(ready)
-        ready.sort(key=lambda known: known.size / rank(self.number, known.entry.upstream), reverse=True)
+        for known in ready:
+            known.rank = known.rank or rank(self.number, known.entry.upstream)
+        ready.sort(key=lambda known: known.size / known.rank, reverse=True)
         self.zones = [[k for k in ready if k.entry.zone == zone] for zone in range(len(self.zones))]
         self.sort_at = 0
 
@@ -476,7 +489,7 @@
         return not suspects or query.terms.effect == REDOABLE
 
     def may_go_to(self, query: Query, known: Upstream) -> bool:  # never one twice; repeats stay there
-        if any(known is where for where, _ in query.sent):
+        if any(known is where for where, _ in query.sent) or not query.terms.open_to(known.entry):
             return False
         if query.terms.effect != LABELLED or query.terms.group == EVERYWHERE:
             return True
@@ -534,7 +547,9 @@
         self.shortest = min((o.agreed for o in offerings), default=SECOND)
         self.cold, self.shares = ColdBudget(cold, place), Shares(now, quotas, place.sidecars)
         # A canary's effect: where none is redoable a labelled one, or an ejected upstream had no way back.
-        self.tried = min((o.effect for o in offerings if o.effect != IRREVERSIBLE), default=REDOABLE)
+        # One that is bound to a place only where all are: it could not be tried elsewhere.
+        tries = [(o.bound, o.effect) for o in offerings if o.effect != IRREVERSIBLE]
+        self.tried = min(tries, default=(False, REDOABLE))[1]
         self.answers = Answers(now, int(self.shortest * self.UNHEARD), self.taken)
         self.pick.kind_paces = self.answers.kind_paces
         self.offerings, self.permits, self.growth = offerings, permits, place.sidecars**0.5
@@ -550,6 +565,8 @@
         """Held queries keep their terms; where they were sent is renumbered, or repeats left their group."""
         if permits.follow != self.permits.follow:
             self.follow_at = now if permits.follow else self.NEVER
+        for query in self.ledger.queries.values():
+            query.terms = query.terms.renumbered(zones, kinds)
         sent = {id(known): known for q in self.ledger.queries.values() for known, _ in q.sent}
         for known in sent.values():
             if self.roster.by_id.get(known.entry.upstream) is not known:
@@ -562,7 +579,7 @@
         self.look_at = now
 
     def learn(self, now: int, entries: Sequence[Entry], whole: bool) -> None:
-        self.roster.learn(now, entries, whole)
+        self.roster.learn(now, entries, whole, self.permits.drains)
         self.health.ejected = {n: k for n, k in self.health.ejected.items() if self.roster.by_id.get(n) is k}
         self.group.lay(self.roster.zones)
         self.follow_pause, self.look_at = min(self.FOLLOW_FIRST, self.permits.stale // 8), now
@@ -609,8 +626,10 @@
                 self.lines.add(query)
 
     def may_begin(self, now: int, number: int) -> bool:  # its first byte: a connection may come up late
-        query = self.ledger.queries.get(number)
-        return not query or self.ledger.may_repeat(now, query, query.suspects, 1)
+        if not (query := self.ledger.queries.get(number)):
+            return True
+        placed = not query.sent or query.terms.open_to(query.sent[-1][0].entry)  # it may have moved meanwhile
+        return placed and self.ledger.may_repeat(now, query, query.suspects, 1)
 
     def left(self, now: int, number: int) -> None:
         if query := self.ledger.queries.get(number):
@@ -701,22 +720,25 @@
             self.said.append(("note", note))
         self.look_at = min(self.follow_at, max(self.group.due(now), now + self.TICK))
         if self.permits.probes:
-            while (known := self.next_canary(now)) is not None:
+            while (known := self.next_canary(now, None)) is not None:
                 known.probe_out = True
                 self.said.append(("probe", known.entry.upstream))
             dues = [known.canary_due for known in self.health.ejected.values() if not known.canary_out]
             self.look_at = min([self.look_at, *(max(due, now + self.health.CANARY_EVERY) for due in dues)])
 
-    def next_canary(self, now: int) -> Upstream | None:
-        """The upstream that is due a canary: of the zone that the group asks, else one that is ejected."""
+    def next_canary(self, now: int, terms: Offering | None) -> Upstream | None:
+        """The upstream that is due a canary: of the zone that the group asks, else one that is ejected. Of
+        those that are open to its offering, if it is a query."""
         group = self.group
         if group.canary_zone is not None and not group.canary_sent:
             zone = self.roster.zones[group.canary_zone]
+            zone = [known for known in zone if terms is None or terms.open_to(known.entry)]
             if may := [known for known in zone if not known.probe_out and self.allows(now, known)]:
                 group.canary_sent = True
                 return self.pick.better(now, self.pick.pair(may, []), may)
         for known in self.health.ejected.values():
             free = not (known.canary_out or known.probe_out) and now >= known.canary_due
+            free = free and (terms is None or terms.open_to(known.entry))
             if free and known.entry.condition == READY and self.allows(now, known):
                 known.canary_out = True
                 return known
@@ -726,7 +748,7 @@
         if not self.ledger.may_send(now, query):
             return self.answer(now, query, 0)
         free = query.terms.effect == self.tried and not (self.permits.probes or query.sent)
-        if free and (canary := self.next_canary(now)) is not None:
+        if free and (canary := self.next_canary(now, query.terms)) is not None:
             query.canary = True
             return self.dispatch(now, query, canary)
         chosen, expected = self.choose(now, query)
@@ -745,6 +767,8 @@
         best, soonest, typical = None, 0, self.answers.typical
         # Where connections are kept for many queries, to one of the next zone alone: else all were taken.
         zones, few = self.group.zones(now), self.permits.streams > 1
+        if (bound := query.terms.zones) is not None:  # what is bound to a zone does not fail over from it
+            zones = [zone for zone in self.group.order if zone in bound]
         for place, zone in enumerate(zones):
             if place and best is not None and (query.beyond or (few and place > len(self.group.home))):
                 break
@@ -772,7 +796,7 @@
         """The upstreams of a zone that may get this query: warm ones, and a cold one that is ours to feed."""
         ready = self.roster.members(now, zone, self.answers.taken, abroad)
         fed = [known for known in self.roster.cold[zone] if self.allows(now, known)]
-        if query.sent:
+        if query.sent or query.terms.bound:
             may = [known for known in self.roster.usable[zone] + fed if self.ledger.may_go_to(query, known)]
             fed = [known for known in fed if known in may]
             ready = [known for known in ready if known in may] or [known for known in may if known not in fed]
--- a/maddercart/messages/config.py
+++ b/maddercart/messages/config.py
@@ -37,6 +37,8 @@
     earnings: float = 1.0
     tardy_earnings: float = 0.0
     hard_stop: float = 0.0
+    confined_to: list[str | int] | None = None  # the only zones that it may be sent to; empty: none
+    kinds_open: list[str | int] | None = None  # likewise of machines
 
 
 class Party(Struct, frozen=True):
@@ -52,6 +54,7 @@
     overload_for: float
     ask_within: float = 0.0  # how old a list asked for may be; 0: not told
     stop_sending_within: float = 0.0  # the grace of a drain
+    removal_not_binding: bool = False  # who is gone without having drained may still be sent to
 
 
 class Settings(Struct, frozen=True):
--- a/maddercart/sidecar/upstreams.py
+++ b/maddercart/sidecar/upstreams.py
@@ -74,8 +74,8 @@
     def remember(self, listing: Listing, entries: Sequence[Entry]) -> None:
         """For those who have an older version of it."""
         listed = {entry.upstream for entry in entries}
-        gone = [e._replace(condition=GONE) for e in self.entries.values() if e.upstream not in listed]
-        for entry in [*(gone if listing.whole else ()), *entries]:
+        left = [e for e in self.entries.values() if e.upstream not in listed] if listing.whole else []
+        for entry in [*(e._replace(condition=GONE) for e in left if e.condition != GONE), *entries]:
             if self.entries.get(entry.upstream) != entry:
                 self.changed.pop(entry.upstream, None)
                 self.entries[entry.upstream], self.changed[entry.upstream] = entry, listing.seq
--- a/maddercart/translation.py
+++ b/maddercart/translation.py
@@ -1,5 +1,6 @@
 """The settings of a deployment, turned once into the arguments of a `Balancer`; both hosts use this."""
 
+from collections.abc import Sequence
 from typing import Any
 
 from maddercart import interface as i
@@ -32,7 +33,22 @@
     return table[word]
 
 
-def offering(at: str, terms: OfferingTerms) -> i.Offering:
+def placed(name: str, words: Sequence[str | int] | None, names: Sequence[str]) -> frozenset[int] | None:
+    """Places of zones or kinds, as list entries name them: on sockets by name, on the wire by number. An
+    empty list is open to none, not to all."""
+    if words is None:
+        return None
+    places = {known: place for place, known in enumerate(names)}
+    made = set()
+    for word in map(str, words):
+        place = places[word] if word in places else int(word) if word.isdecimal() else -1
+        if not 0 <= place < max(1, len(names)):
+            raise SettingsError(f"setting {name} names none of {', '.join(names)}: {word!r}")
+        made.add(place)
+    return frozenset(made)
+
+
+def offering(at: str, terms: OfferingTerms, settings: Settings) -> i.Offering:
     return i.Offering(
         effect=one_of(at + "semantics", EFFECTS, terms.semantics),
         group=one_of(at + "group", GROUPS, terms.group),
@@ -40,6 +56,8 @@
         agreed=nanos(at + "agreed_time", terms.agreed_time),
         earnings=number(at + "earnings", terms.earnings, "worth"),
         late_earnings=number(at + "tardy_earnings", terms.tardy_earnings, "worth"),
+        zones=placed(at + "confined_to", terms.confined_to, settings.zones),
+        kinds=placed(at + "kinds_open", terms.kinds_open, settings.kinds),
     )
 
 
@@ -79,7 +97,9 @@
             zone=settings.zone,
             zones=zones,
         ),
-        "offerings": [offering(f"offerings.{n}.", terms) for n, terms in enumerate(settings.offerings)],
+        "offerings": [
+            offering(f"offerings.{n}.", terms, settings) for n, terms in enumerate(settings.offerings)
+        ],
         "cold": i.ColdRule(
             start=number("rules.cold_from", rules.cold_from, "share", most=1.0),
             ramp=nanos("rules.ramp_time", rules.ramp_time),
@@ -100,5 +120,6 @@
             crossing=number("charges.cross_zone", settings.charges.cross_zone, "price"),
             follow=settings.discovery == "ask",
             stale=stale(settings),
+            drains=rules.removal_not_binding,
         ),
     }
--- a/maddercart/wirehost/settings.py
+++ b/maddercart/wirehost/settings.py
@@ -8,7 +8,8 @@
 from maddercart.translation import SettingsError
 
 REPORT_FIELDS = {"active": 0, "waiting": 1, "avg_ms": 2, "rps": 3}
-LISTS = frozenset({"zones", "kinds", "fields", "parties"})  # in one line: of plain values, or with none
+# In one line: of plain values, or with none.
+LISTS = frozenset({"zones", "kinds", "fields", "parties", "confined_to", "kinds_open"})
 
 
 def read_settings(text: str) -> Settings:
