Log lines that the incident lacked: what is learnt of the list and when, why datagrams are dropped

The evidence showed neither when a sidecar learnt a version nor that datagrams of its peers were dropped, nor which request an attempt was of.

--- a/maddercart/sidecar/backing.py
+++ b/maddercart/sidecar/backing.py
@@ -1,10 +1,12 @@
 """One pool of upstreams with all that belongs to it: numbers and addresses, connections, dispatches, and the
 one `Balancer` whose decisions they carry out. The sidecar has one, a gateway as many as its file names."""
 
+import logging
+from collections import Counter
 from collections.abc import Callable, Mapping, Sequence
 from typing import Any
 
-from maddercart.interface import READY, Entry
+from maddercart.interface import DRAINING, GONE, READY, Entry
 from maddercart.logic import Balancer
 from maddercart.messages.upstreams import Listing
 from maddercart.net.loop import Loop
@@ -14,6 +16,19 @@
 from maddercart.sidecar.pool import Pool
 from maddercart.sidecar.upstreams import Upstreams
 
+log = logging.getLogger(__name__)
+
+
+def conditions(entries: Sequence[Entry]) -> dict[str, int]:
+    """How many upstreams are said to be in each condition."""
+    count = Counter(entry.condition for entry in entries)
+    return {"ready": count[READY], "draining": count[DRAINING], "gone": count[GONE]}
+
+
+def log_list(listing: Listing, entries: Sequence[Entry]) -> None:
+    if entries or listing.whole:
+        log.info("list learnt", extra={"seq": listing.seq, "whole": listing.whole, **conditions(entries)})
+
 
 class Backing:
     """`arguments` are the `Balancer`'s, but for clock and seed; `follow` is called when it wants the list."""
@@ -42,7 +57,10 @@
             known = self.upstreams.entries
             told.append(([known[number] for number in sorted(self.heard) if number in known], False))
             self.heard.clear()
-        told += [(self.upstreams.learn(listing), listing.whole) for listing in listings]
+        for listing in listings:
+            entries = self.upstreams.learn(listing)
+            log_list(listing, entries)
+            told.append((entries, listing.whole))
         self.decisions.learn(*told)
         self.pool.drop_unwanted()
 
@@ -52,6 +70,7 @@
         entries = [e for e in entries if e.condition != READY or e.upstream in self.upstreams.ready]
         self.heard.update(entry.upstream for entry in entries)
         self.upstreams.hear(entries)
+        log.info("list heard of peers", extra=conditions(entries))
         self.decisions.learn((entries, False))
 
     def list_failed(self, left: int | None = None) -> None:
--- a/maddercart/sidecar/decisions.py
+++ b/maddercart/sidecar/decisions.py
@@ -40,6 +40,7 @@
     upstream: int
     sent: int
     task: Task | None = None
+    trace: str = ""  # the id that its client gave the query
     dial: Address | None = None
     begun: bool = False  # its connection is up: whether it is still written is asked there, not here
 
@@ -77,6 +78,9 @@
     def left(self, number: int) -> None:
         if (held := self.held.pop(number, None)) is not None:
             self.counts["left"] += 1
+            if log.isEnabledFor(logging.DEBUG):
+                trace = held.query.trace.decode("latin-1")
+                log.debug("client left", extra={"query": number, "trace": trace})
             held.query.over(held.dispatches, "left")
             self.balancer.left(self.clock(), number)
             self.settle()
@@ -139,7 +143,7 @@
         outcome, now = OUTCOMES[ending], self.clock()
         if log.isEnabledFor(logging.DEBUG):
             log.debug("dispatch ended", extra={
-                "query": out.number, "shot": out.shot, "ending": ending.name.lower(),
+                "query": out.number, "trace": out.trace, "shot": out.shot, "ending": ending.name.lower(),
                 "upstream": self.upstreams.names.get(out.upstream), "ms": (now - out.sent) // MILLISECOND,
                 "report": answer.report if answer is not None else None,
             })  # fmt: skip
@@ -175,7 +179,7 @@
 
     def dispatch(self, now: int, number: int, upstream: int, limit: int) -> None:
         held = self.held[number]
-        out = Out(number, held.dispatches, upstream, now)
+        out = Out(number, held.dispatches, upstream, now, trace=held.query.trace.decode("latin-1"))
         held.dispatches += 1
         self.out[number, out.shot] = out
         task = self.loop.spawn(self.run(held.query, out, now + limit), SOON)
@@ -234,6 +238,11 @@
     def answer(self, number: int, how: str, reply: Reply) -> None:
         if (held := self.held.pop(number, None)) is not None:
             self.counts[how] += 1
-            self.times.record_value(max(1, (self.clock() - held.taken) // MILLISECOND))
+            took = (self.clock() - held.taken) // MILLISECOND
+            self.times.record_value(max(1, took))
+            if log.isEnabledFor(logging.DEBUG):
+                trace, dispatches = held.query.trace.decode("latin-1"), held.dispatches
+                words = {"query": number, "trace": trace, "how": how, "dispatches": dispatches, "ms": took}
+                log.debug("query answered", extra=words)
             held.query.over(held.dispatches, how)
             held.answer(reply)
--- a/maddercart/sidecar/discovery.py
+++ b/maddercart/sidecar/discovery.py
@@ -50,6 +50,8 @@
     ) -> None:  # fmt: skip
         self.loop, self.clock, self.at, self.upstreams = loop, clock, at, upstreams
         self.learn, self.failed = learn, failed
+        self.failures = 0  # calls and watches that have ended since the list was last heard
+        self.heard_at = clock()  # when it was
         self.following = False
         self.anew = False  # the list known is not one of this service's, or changes on it will not do
         self.within = ANSWER_WITHIN
@@ -136,7 +138,7 @@
     def ended(self, call: Call | None, fault: Exception) -> None:
         if isinstance(fault, WatchFailed | OSError):
             which = "former watch" if self.left(call) else "watch"
-            words = {"reason": str(fault), "seq": self.upstreams.version}
+            words = {"reason": str(fault), "seq": self.upstreams.version, "unheard_ms": self.unheard_ms()}
             log.warning(f"{which} of the list ended", extra=words)
         else:
             log.error("watch failed", exc_info=fault)
@@ -145,10 +147,15 @@
             return
         if isinstance(fault, NoList):
             self.anew = True
+        self.failures += 1
         self.current, self.following = None, False
         left = self.due - self.clock() if self.due is not None else 0
         self.failed(left if left > 0 else None)
 
+    def unheard_ms(self) -> int:
+        """How long nothing has been heard of the list."""
+        return (self.clock() - self.heard_at) // MILLISECOND
+
     def left(self, call: Call | None) -> bool:
         return call is not None and call is self.former
 
@@ -165,7 +172,7 @@
         yield from self.ask(call, f"/api/targets?watch=1&after={call.version}", until)
         while not side.ended:
             yield from self.receive(call, until)
-            call.heard = self.clock()
+            call.heard = self.heard_at = self.clock()
             until = call.heard + SILENCE
         raise WatchFailed("discovery ended the watch")
 
@@ -214,4 +221,8 @@
             if self.former is not None:
                 self.end(self.former)
                 self.former = None
+        if self.failures:
+            words = {"seq": listings[-1].seq, "failures": self.failures, "unheard_ms": self.unheard_ms()}
+            log.info("list heard again", extra=words)
+        self.failures = 0
         self.learn(listings)
--- a/maddercart/sidecar/node.py
+++ b/maddercart/sidecar/node.py
@@ -21,6 +21,7 @@
 from maddercart.sidecar.peers import Peers
 from maddercart.sidecar.signals import await_signals
 from maddercart.sidecar.stopping import stop
+from maddercart.sidecar.wall_clock import WallClock
 from maddercart.translation import nanos
 
 log = logging.getLogger(__name__)
@@ -64,6 +65,7 @@
             )  # fmt: skip
         self.front = PlatformFront(self.decisions, self.backing.ready)
         self.applications = Applications(self.loop, clock, self.front, self.decisions.counts)
+        self.wall_clock = WallClock()
         self.longest = 0
         self.limit(config)
         self.listener = listen(address(config.listen), machine=self.loop.machine)
@@ -169,6 +171,7 @@
         """A line of counts now and then, while there is something to count."""
         while True:
             yield Wait(until=self.clock() + COUNTS_EVERY)
+            self.wall_clock.check()
             if self.decisions.counts:
                 log.info("counts", extra=self.figures())
                 self.decisions.counts.clear()
--- a/maddercart/sidecar/peers.py
+++ b/maddercart/sidecar/peers.py
@@ -42,6 +42,7 @@
         self.asked = -APART
         self.said: dict[Word, set[Address]] = defaultdict(set)
         self.answered: dict[Address, list[int]] = {}
+        self.logged: set[str] = set()  # reasons for which a datagram was dropped
         self.sock = loop.machine.udp()
         self.sock.bind(at)
         self.task: Task = loop.spawn(self.receive())
@@ -80,7 +81,13 @@
                     self.take(data, sender)
                 except ValueError as error:
                     self.counts["words_dropped"] += 1
-                    log.debug("datagram dropped", extra={"from": sender, "reason": str(error)})
+                    self.log_dropped(sender, str(error))
+
+    def log_dropped(self, sender: Address, reason: str) -> None:
+        """Each reason once at INFO: a tier whose datagrams are all dropped must be seen."""
+        level = logging.DEBUG if reason in self.logged else logging.INFO
+        self.logged.add(reason)
+        log.log(level, "datagram dropped", extra={"from": "{}:{}".format(*sender), "reason": reason})
 
     def take(self, data: bytes, sender: Address) -> None:
         """Raises `ValueError` for a datagram that is none of ours, or is old."""
