No instant of another machine is compared with ours: tokens and spans in place of wall times

Callers saw requests at draining servers from machines whose wall clock had been stepped, until discovery spoke to them. Cause: each process placed its clock once by the wall clock (sidecar/clock.py) and then dropped datagrams whose wall time was 2 s off its own (Peers.take), so that a sidecar that started on a stepped machine heard of no drain from its peers; born_ms was compared with the same clock, so that an upstream that had just started counted as warm (an hour ahead) or as cold for an hour (an hour behind). Why it works: Clock is the monotonic clock. A tell carries the token of the ask that it answers, and the asker judges its age. A start that is told anew is placed at the moment it was told; in the first lists by how long before the newest start but one it was, both stamps of one clock. A stamp that goes back is a restart too: it was passed over before.

--- a/maddercart/messages/words.py
+++ b/maddercart/messages/words.py
@@ -1,7 +1,10 @@
 """What sidecars tell one another of the list, in datagrams of at most 256 bytes: an ask, or a part of a tell.
 
-    "mc1", kind, list version, Unix time in milliseconds; per upstream its number's first half, condition and
-    when it was launched (Unix milliseconds, 0 long ago); CRC-32 of all before
+    "mc1", kind, list version, token; per upstream its number's first half, condition and the list's stamp of
+    its start (milliseconds, 0 long ago); CRC-32 of all before
+
+The token is the asker's, and a tell carries that of the ask it answers: how old it is, the asker knows by its
+own clock. Earlier releases had the sender's wall time there; they answer no ask of this one.
 """
 
 import struct
@@ -17,17 +20,17 @@
 
 
 class Word(NamedTuple):
-    """Of one upstream: the first half of its number, its condition, when it was launched (ms, 0 long ago)."""
+    """Of one upstream: the first half of its number, its condition, the list's stamp of its start."""
 
     key: int
     condition: int
-    launched_ms: int
+    stamp_ms: int
 
 
 class Message(NamedTuple):
     kind: int
     version: int  # of the sender's list
-    at_ms: int
+    token: int
     words: list[Word]
 
 
@@ -35,14 +38,14 @@
     return number >> 32
 
 
-def write(kind: int, version: int, at_ms: int, words: Iterable[Word] = ()) -> bytes:
-    data = HEAD.pack(FORM, kind, version, at_ms) + b"".join(LINE.pack(*word) for word in words)
+def write(kind: int, version: int, token: int, words: Iterable[Word] = ()) -> bytes:
+    data = HEAD.pack(FORM, kind, version, token) + b"".join(LINE.pack(*word) for word in words)
     return data + CHECK.pack(crc32(data))
 
 
-def tells(version: int, at_ms: int, words: list[Word]) -> Iterator[bytes]:
+def tells(version: int, token: int, words: list[Word]) -> Iterator[bytes]:
     for first in range(0, len(words), LINES):
-        yield write(TELL, version, at_ms, words[first : first + LINES])
+        yield write(TELL, version, token, words[first : first + LINES])
 
 
 def read(data: bytes) -> Message:
@@ -52,7 +55,7 @@
         raise ValueError("no length of ours")
     if CHECK.unpack(check)[0] != crc32(body):
         raise ValueError("the check sum differs")
-    form, kind, version, at_ms = HEAD.unpack_from(body)
+    form, kind, version, token = HEAD.unpack_from(body)
     if form != FORM or kind not in (ASK, TELL):
         raise ValueError("not of this form")
-    return Message(kind, version, at_ms, [Word(*line) for line in LINE.iter_unpack(body[HEAD.size :])])
+    return Message(kind, version, token, [Word(*line) for line in LINE.iter_unpack(body[HEAD.size :])])
--- a/maddercart/sidecar/backing.py
+++ b/maddercart/sidecar/backing.py
@@ -38,7 +38,7 @@
         arguments: Mapping[str, Any], follow: Callable[[], None],
         meaning: Callable[[int, bool], Ending] = of_status,
     ) -> None:  # fmt: skip
-        self.upstreams = Upstreams(zones, kinds)
+        self.upstreams = Upstreams(clock, zones, kinds)
         self.pool = Pool(loop, clock, self.upstreams.ready)
         self.dispatcher = Dispatcher(self.pool, clock, self.upstreams.may_send, meaning)
         balancer = Balancer(clock(), seed, **arguments)
--- a/maddercart/sidecar/clock.py
+++ b/maddercart/sidecar/clock.py
@@ -1,20 +1,10 @@
-"""The one place where the wall clock and ours meet."""
+"""The one clock that decisions go by: real time since some moment, which never steps."""
 
-from time import monotonic_ns, time_ns
-
-from maddercart.interface import MILLISECOND
+from time import monotonic_ns
 
 
 class Clock:
-    """Starts at the wall clock's time and only advances, so that a wall time can be compared with it."""
-
-    def __init__(self) -> None:
-        self.offset = time_ns() - monotonic_ns()
+    """Nanoseconds that only advance. Its readings mean nothing to another machine or process."""
 
     def __call__(self) -> int:
-        return monotonic_ns() + self.offset
-
-
-def from_unix_ms(milliseconds: float) -> int:
-    """A wall time in this clock; 0, long ago, stays 0."""
-    return round(milliseconds * MILLISECOND)
+        return monotonic_ns()
--- a/maddercart/sidecar/peers.py
+++ b/maddercart/sidecar/peers.py
@@ -10,10 +10,11 @@
 from collections.abc import Callable, Mapping, Sequence
 from random import Random
 
-from maddercart.interface import DRAINING, GONE, MILLISECOND, READY, SECOND, Entry
+from maddercart.interface import DRAINING, GONE, READY, SECOND, Entry
 from maddercart.messages.words import ASK, MOST, Message, Word, key_of, read, tells, write
 from maddercart.net.loop import READ, Coroutine, Loop, Task, Wait
 from maddercart.net.sockets import close
+from maddercart.sidecar.start_times import StartTimes
 from maddercart.sidecar.upstreams import Upstreams
 
 log = logging.getLogger(__name__)
@@ -21,7 +22,7 @@
 Address = tuple[str, int]
 
 ALIKE = 2  # so many must say the same: no decision rests on one datagram, nor on one sidecar
-OLD = 2 * SECOND  # an older datagram is dropped: on its way they take milliseconds
+OLD = 2 * SECOND  # what answers an older ask is dropped: on their way datagrams take milliseconds
 AT_ONCE = 256  # datagrams read in a turn: a flood must not hold up queries
 APART = SECOND // 2  # asks of ours; a tier that starts at once asks each other some thousand times as it is
 # Of a tier about so many answer an ask, by chance: with seven in ten of them gone, seven still do, and two
@@ -39,7 +40,7 @@
         self.loop, self.clock, self.everyone, self.upstreams = loop, clock, everyone, upstreams
         self.peers, self.hear, self.counts = frozenset(peers), hear, counts
         self.told = self.live = False  # discovery has spoken to this process; it still does
-        self.asked = -APART
+        self.asks: dict[int, int] = {}  # when each was sent, by its token, in our clock
         self.said: dict[Word, set[Address]] = defaultdict(set)
         self.answered: dict[Address, list[int]] = {}
         self.logged: set[str] = set()  # reasons for which a datagram was dropped
@@ -63,9 +64,12 @@
 
     def ask(self) -> None:
         now = self.clock()
-        if not self.told and now - self.asked >= APART:
-            self.asked = now
-            self.send(write(ASK, self.upstreams.version or 0, now // MILLISECOND), self.everyone)
+        self.asks = {token: at for token, at in self.asks.items() if now - at <= OLD}
+        if self.told or any(now - at < APART for at in self.asks.values()):
+            return
+        token = self.chance.getrandbits(64)
+        self.asks[token] = now
+        self.send(write(ASK, self.upstreams.version or 0, token), self.everyone)
 
     # -- what comes
 
@@ -90,15 +94,15 @@
         log.log(level, "datagram dropped", extra={"from": "{}:{}".format(*sender), "reason": reason})
 
     def take(self, data: bytes, sender: Address) -> None:
-        """Raises `ValueError` for a datagram that is none of ours, or is old."""
+        """Raises `ValueError` for a datagram that is none of ours, or answers no recent ask."""
         if sender not in self.peers:
             raise ValueError("not from a peer")
         message, now = read(data), self.clock()
-        if abs(now - message.at_ms * MILLISECOND) > OLD:
-            raise ValueError("too old")
         if message.kind == ASK:
             self.answer(message, sender, now)
         elif not self.told:
+            if now - self.asks.get(message.token, now - OLD - 1) > OLD:
+                raise ValueError("answers no ask of ours, or an old one")
             self.listen(message, sender)
 
     def answer(self, message: Message, sender: Address, now: int) -> None:
@@ -110,10 +114,10 @@
             return
         self.answered[sender] = [*lately, now]
         words = [
-            Word(key_of(number), condition, launched // MILLISECOND)
-            for number, condition, launched in self.upstreams.changed_after(message.version)
+            Word(key_of(number), condition, stamp_ms)
+            for number, condition, stamp_ms in self.upstreams.changed_after(message.version)
         ]
-        for data in tells(self.upstreams.version or 0, now // MILLISECOND, words):
+        for data in tells(self.upstreams.version or 0, message.token, words):
             self.send(data, sender)
 
     def listen(self, message: Message, sender: Address) -> None:
@@ -126,7 +130,7 @@
                 alike.append(word)
         if alike:
             self.counts["words_heard"] += len(alike)
-            self.hear(entries_of(alike, self.upstreams.entries))
+            self.hear(entries_of(alike, self.upstreams.entries, self.upstreams.starts))
 
     def send(self, data: bytes, to: Address) -> None:
         try:
@@ -135,16 +139,16 @@
             log.debug("datagram not sent", extra={"to": to, "reason": str(error)})
 
 
-def entries_of(words: Sequence[Word], known: Mapping[int, Entry]) -> list[Entry]:
-    """Of upstreams that are listed here: where another is reached only discovery tells. What was launched
-    before what is known of it says nothing new."""
+def entries_of(words: Sequence[Word], known: Mapping[int, Entry], starts: StartTimes) -> list[Entry]:
+    """Of upstreams that are listed here: where another is reached only discovery tells. That one is ready
+    which started before what is known of it says nothing new."""
     by_key: dict[int, list[Entry]] = defaultdict(list)
     for entry in known.values():
         by_key[key_of(entry.upstream)].append(entry)
     made = []
     for word in words:
-        launched = word.launched_ms * MILLISECOND
         for entry in by_key[word.key] if len(by_key[word.key]) == 1 else ():
-            if launched >= entry.launched:
+            if word.condition != READY or word.stamp_ms >= starts.stamp_ms(entry.upstream):
+                launched = starts.instant(entry.upstream, word.stamp_ms)
                 made.append(entry._replace(condition=word.condition, launched=launched))
     return made
--- a/maddercart/sidecar/upstreams.py
+++ b/maddercart/sidecar/upstreams.py
@@ -2,7 +2,7 @@
 
 import ipaddress
 import logging
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from hashlib import blake2b
 
 import msgspec
@@ -10,7 +10,7 @@
 from maddercart.interface import DRAINING, GONE, READY, Entry
 from maddercart.messages.upstreams import Host, Listing, read_host
 from maddercart.net.sockets import address
-from maddercart.sidecar.clock import from_unix_ms
+from maddercart.sidecar.start_times import LONG_AGO, StartTimes, reference, whole_stamp
 
 log = logging.getLogger(__name__)
 
@@ -23,8 +23,16 @@
     return int.from_bytes(blake2b(host.encode(), digest_size=8).digest(), "big")
 
 
+def stamp_of(line: object) -> int:
+    """The start that a line tells, `LONG_AGO` if it tells none that can be read."""
+    stamp = line.get("born_ms") if isinstance(line, dict) else None
+    return whole_stamp(stamp) if isinstance(stamp, int | float) else LONG_AGO
+
+
 class Upstreams:
-    def __init__(self, zones: Sequence[str], kinds: Sequence[str]) -> None:
+    def __init__(self, clock: Callable[[], int], zones: Sequence[str], kinds: Sequence[str]) -> None:
+        self.starts = StartTimes(clock)
+        self.learnt = 0  # listings
         self.zones: dict[str, int] = {}
         self.kinds: dict[str, int] = {}
         self.place(zones, kinds)
@@ -56,7 +64,11 @@
             self.names.clear()
             self.dials.clear()
             self.ready.clear()
-        entries = [entry for line in listing.hosts if (entry := self.read(line)) is not None]
+        # What a change tells has just happened; the first lists tell of starts some time ago as well.
+        several = listing.whole or self.learnt <= 1
+        passed = reference(map(stamp_of, listing.hosts)) if several else LONG_AGO
+        self.learnt += 1
+        entries = [entry for line in listing.hosts if (entry := self.read(line, passed)) is not None]
         self.remember(listing, entries)
         return entries
 
@@ -82,16 +94,18 @@
         for number in list(self.changed) if len(self.changed) > len(self.dials) + GONE_KEPT else ():
             if number not in self.dials and len(self.changed) > len(self.dials) + GONE_KEPT // 2:
                 del self.changed[number], self.entries[number]
+                self.starts.forget(number)
 
     def changed_after(self, version: int) -> list[tuple[int, int, int]]:
-        """Number, condition, launched of what changed later."""
+        """Number, condition, the list's stamp of its start (ms) of what changed later."""
         late = [self.entries[number] for number, then in self.changed.items() if then > version]
-        return [(entry.upstream, entry.condition, entry.launched) for entry in late]
+        return [(entry.upstream, entry.condition, self.starts.stamp_ms(entry.upstream)) for entry in late]
 
-    def read(self, line: object) -> Entry | None:
+    def read(self, line: object, passed: int) -> Entry | None:
+        """`passed`: a moment of the list's clock that has passed."""
         try:
             host = read_host(line)
-            return self.entry(host)
+            return self.entry(host, passed)
         except (msgspec.ValidationError, ValueError, KeyError) as error:
             reason = str(error)
             if reason not in self.logged and len(self.logged) < 100:  # a bad list must not fill memory
@@ -109,7 +123,7 @@
         self.ready.discard(number)
         return known._replace(condition=DRAINING)
 
-    def entry(self, host: Host) -> Entry:
+    def entry(self, host: Host, passed: int) -> Entry:
         if host.health not in CONDITIONS or host.site not in self.zones:
             raise ValueError(f"unknown state or zone: {host.health!r}, {host.site!r}")
         number, condition = number_of(host.host), CONDITIONS[host.health]
@@ -122,5 +136,5 @@
             self.names[number], self.dials[number] = host.host, (where, port)
         (self.ready.add if condition == READY else self.ready.discard)(number)
         kind = self.kinds.get(host.kind, len(self.kinds))
-        launched = from_unix_ms(host.born_ms)
+        launched = self.starts.listed(number, whole_stamp(host.born_ms), passed)
         return Entry(number, self.zones[host.site], kind, host.block, condition, host.share, launched)
