--- a/maddercart/rig/plays.py
+++ b/maddercart/rig/plays.py
@@ -219,8 +219,14 @@
                 self.kill()
         terms = Terms(self.push, self.grace, self.ask_within, self.zones, self.window)
         seen = Seen(
-            terms, self.history, self.services, self.lives, self.clients.asked, self.servers.sent,
-            self.silent, self.back,
+            terms,
+            self.history,
+            self.services,
+            self.lives,
+            self.clients.asked,
+            self.servers.sent,
+            self.silent,
+            self.back,
         )
         done = sum(status == 200 for asked in self.clients.asked for _, status in asked.answers)
         words = f"{'push' if self.push else 'ask'} grace {self.grace // MILLISECOND} ms, {' '.join(kinds)}"
