--- a/maddercart/net/loop.py
+++ b/maddercart/net/loop.py
@@ -98,16 +98,28 @@
         self.unwait(task)
         task.step += 1
         assert task.coroutine is not None
-        try:
-            fd, events, until = task.coroutine.send(None if task.step == 1 else why)  # type: ignore[arg-type]
-        except StopIteration:
-            task.coroutine = None
-            return
-        except Exception:
-            # One connection's fault must not take the others down with it.
-            log.exception("coroutine failed")
-            task.coroutine = None
-            return
+        coroutine, fault = task.coroutine, None
+        while True:
+            try:
+                if fault is not None:
+                    wait = coroutine.throw(fault)
+                else:
+                    wait = coroutine.send(None if task.step == 1 else why)  # type: ignore[arg-type]
+            except StopIteration:
+                task.coroutine = None
+                return
+            except Exception:
+                # One connection's fault must not take the others down with it.
+                log.exception("coroutine failed")
+                task.coroutine = None
+                return
+            try:
+                return self.suspend(task, wait)
+            except OSError as error:  # epoll has no room for its descriptor: it ends as if that had broken
+                fault = error
+
+    def suspend(self, task: Task, wait: Wait) -> None:
+        fd, events, until = wait
         if fd >= 0:
             if self.known.get(fd) != events:
                 self.watch(fd, events)
--- a/maddercart/sidecar/applications.py
+++ b/maddercart/sidecar/applications.py
@@ -10,7 +10,7 @@
 from maddercart.interface import MILLISECOND, SECOND
 from maddercart.messages.answer import Reply, unfit
 from maddercart.net.loop import NOTHING, READ, WOKEN, Coroutine, Loop, Task, Wait
-from maddercart.net.sockets import accept, close, read, read_now, write
+from maddercart.net.sockets import accept, close, ended, read, read_now, write
 from maddercart.sidecar.decisions import Decisions
 from maddercart.sidecar.fronts import Front, Unfit
 
@@ -72,6 +72,7 @@
         # Those in each phase, and since when, the longest first.
         self.phases: dict[Phase, dict[Application, int]] = {phase: {} for phase in Phase}
         self.stopping = False
+        self.answer_by: int | None = None  # the process leaves soon after
         self.acceptor: Task | None = None
 
     # -- accepting
@@ -87,14 +88,18 @@
                 log.warning("connections can't be accepted", extra={"reason": str(error)})
             yield Wait(until=self.clock() + self.PAUSE)
 
-    def accept_some(self, listener: socket.socket, at_once: int = AT_ONCE) -> None:
+    def accept_some(self, listener: socket.socket, at_once: int = AT_ONCE) -> bool:
+        """True if there was nothing more to accept. Raises `OSError`."""
         for _ in range(at_once):
-            if len(self.open) >= self.most or (sock := accept(listener)) is None:
-                return
+            if len(self.open) >= self.most:
+                return False
+            if (sock := accept(listener)) is None:
+                return True
             application = Application(sock, self.most_body)
             self.open.add(application)
             self.enter(application, Phase.NEW)
             application.task = self.loop.spawn(self.serve(application))
+        return False
 
     def make_room(self) -> bool:
         """Guards against connections on which nothing is asked keeping those away that would ask: all places
@@ -189,6 +194,9 @@
         if isinstance(opened, Unfit):
             return self.unfit(opened.status, opened.reason)
         application.reply = None
+        if self.answer_by is not None:
+            left = max(MILLISECOND, self.answer_by - self.clock())
+            opened.query.remaining = min(opened.query.remaining, left)
 
         def answered(reply: Reply) -> None:
             application.reply, application.number = reply, 0
@@ -196,7 +204,7 @@
                 self.loop.wake(application.task)
 
         try:
-            number = opened.desk.take(opened.query, answered)
+            number = opened.desk.take(opened.query, answered, lambda: ended(application.sock))
             if application.reply is None:
                 application.number, application.desk, application.waits = number, opened.desk, True
                 gone = yield from self.wait(application)
@@ -225,6 +233,9 @@
                 application.side.feed(data)
         return False
 
+    def phase_counts(self) -> dict[str, int]:
+        return {phase.name.lower(): len(those) for phase, those in self.phases.items() if those}
+
     # -- stopping
 
     def close_idle(self) -> None:
--- a/maddercart/sidecar/dispatches.py
+++ b/maddercart/sidecar/dispatches.py
@@ -8,7 +8,7 @@
 from maddercart.messages.answer import Answer, read_answer
 from maddercart.messages.query import Query
 from maddercart.net.loop import Wait
-from maddercart.net.sockets import connect, read, write
+from maddercart.net.sockets import OUR_LACK, connect, read, write
 from maddercart.sidecar.endings import Ending, of_status
 from maddercart.sidecar.pool import Address, Connection, Pool
 
@@ -73,8 +73,8 @@
         within = min(until, self.clock() + self.connect_timeout)
         try:
             up = yield from connect(self.pool.loop, connection.sock, connection.dial, within)
-        except OSError:
-            return Ending.REFUSED
+        except OSError as error:
+            return Ending.NO_DESCRIPTOR if error.errno in OUR_LACK else Ending.REFUSED
         return None if up else Ending.NEVER_CAME_UP
 
     def write(self, connection: Connection, query: Query, until: int) -> Generator[Wait, int, Ending | None]:
--- a/maddercart/sidecar/endings.py
+++ b/maddercart/sidecar/endings.py
@@ -8,7 +8,7 @@
 
 class Ending(Enum):
     NO_ADDRESS = auto()  # the upstream has left the list meanwhile
-    NO_DESCRIPTOR = auto()  # none is left for a further connection
+    NO_DESCRIPTOR = auto()  # no socket, port or buffer of ours is left for a further connection
     WITHDRAWN = auto()  # told to drain, gone or moved before the first byte was written
     REFUSED = auto()  # the connection was refused
     NEVER_CAME_UP = auto()  # within the time for that or within the dispatch's own
--- a/maddercart/sidecar/node.py
+++ b/maddercart/sidecar/node.py
@@ -12,6 +12,7 @@
 from maddercart.messages.upstreams import Listing
 from maddercart.net.loop import Coroutine, Loop, Wait
 from maddercart.net.sockets import address, listen
+from maddercart.net.startup import retry_lack
 from maddercart.sidecar.applications import Applications
 from maddercart.sidecar.backing import Backing
 from maddercart.sidecar.clock import Clock
@@ -31,6 +32,7 @@
 # Of the memory for bodies that are coming in: a copy of each goes out, and the program needs its own 30 MB.
 BODIES = 0.15
 COUNTS_EVERY = 10 * SECOND
+READ_TRIES, READ_AGAIN = 10, 100 * MILLISECOND  # at a new configuration that can't be read for a moment
 # Where lists are pushed, what the agent has counts as told from a process's first moment: nothing is sent
 # before its first word. What comes meanwhile waits that long before it is bounced: an agent takes less.
 # Without a word at all the list last known is gone by: discovery that is down must not keep a start from
@@ -41,7 +43,7 @@
 class Node:
     def __init__(self, config: Config, again: Callable[[], Config], loop: Loop | None = None) -> None:
         """`again` reads the configuration anew; raises `OSError` or `ValueError` if it can't be used."""
-        self.loop = loop or Loop(Clock())
+        self.loop = loop or retry_lack(lambda: Loop(Clock()))
         settings, clock = config.settings, self.loop.clock
         self.config, self.again = config, again
         self.clock = clock
@@ -59,16 +61,24 @@
         self.peers: Peers | None = None
         if peering(config):
             self.peers = Peers(
-                self.loop, clock, address(config.peer_listen), [address(at) for at in config.peers],
-                address(config.peers_all), self.upstreams, self.backing.hear, self.decisions.counts,
+                self.loop,
+                clock,
+                retry_lack(self.loop.machine.udp),
+                address(config.peer_listen),
+                [address(at) for at in config.peers],
+                address(config.peers_all),
+                self.upstreams,
+                self.backing.hear,
+                self.decisions.counts,
                 int(config.seed, 16),
-            )  # fmt: skip
+            )
         self.front = PlatformFront(self.decisions, self.backing.ready)
         self.applications = Applications(self.loop, clock, self.front, self.decisions.counts)
         self.wall_clock = WallClock()
+        self.read_tries = 0  # at a configuration that could not be read
         self.longest = 0
         self.limit(config)
-        self.listener = listen(address(config.listen), machine=self.loop.machine)
+        self.listener = retry_lack(lambda: listen(address(config.listen), machine=self.loop.machine))
 
     def limit(self, config: Config) -> None:
         """What may change under load."""
@@ -89,9 +99,13 @@
         """SIGHUP: a new configuration is followed as far as that goes while queries are held."""
         try:
             config = self.again()
-        except (OSError, ValueError) as error:
+        except OSError as error:
+            self.read_failed(error)
+            return
+        except ValueError as error:
             log.error("new configuration can't be used", extra={"reason": str(error)})
             return
+        self.read_tries = 0
         wants = [name for name in ("name", "listen") if getattr(config, name) != getattr(self.config, name)]
         log.info("configuration read again", extra={"wants_a_restart": ",".join(wants)} if wants else {})
         former, self.config = self.config, replace(config, name=self.config.name, listen=self.config.listen)
@@ -100,6 +114,15 @@
             self.switch(config)
         self.discovery.move(address(config.discovery))
 
+    def read_failed(self, error: OSError) -> None:
+        """A file that can't be read for a moment is read again: it may name another discovery."""
+        self.read_tries += 1
+        if self.read_tries < READ_TRIES:
+            self.loop.at(self.clock() + READ_AGAIN, self.renew)
+        else:
+            log.error("new configuration can't be used", extra={"reason": str(error)})
+            self.read_tries = 0
+
     def switch(self, config: Config) -> None:
         """All that goes by an offering's, a zone's or a kind's number changes in this one turn. The way back
         is the same step."""
--- a/maddercart/sidecar/peers.py
+++ b/maddercart/sidecar/peers.py
@@ -6,6 +6,7 @@
 taken back once discovery speaks itself."""
 
 import logging
+import socket
 from collections import Counter, defaultdict
 from collections.abc import Callable, Mapping, Sequence
 from random import Random
@@ -33,9 +34,19 @@
 
 class Peers:
     def __init__(
-        self, loop: Loop, clock: Callable[[], int], at: Address, peers: Sequence[Address], everyone: Address,
-        upstreams: Upstreams, hear: Callable[[list[Entry]], None], counts: Counter[str], seed: int,
-    ) -> None:  # fmt: skip
+        self,
+        loop: Loop,
+        clock: Callable[[], int],
+        sock: socket.socket,
+        at: Address,
+        peers: Sequence[Address],
+        everyone: Address,
+        upstreams: Upstreams,
+        hear: Callable[[list[Entry]], None],
+        counts: Counter[str],
+        seed: int,
+    ) -> None:
+        """`sock`: a datagram socket that is not bound yet; `everyone`: the address of the whole tier."""
         self.chance = Random(seed)
         self.loop, self.clock, self.everyone, self.upstreams = loop, clock, everyone, upstreams
         self.peers, self.hear, self.counts = frozenset(peers), hear, counts
@@ -44,7 +55,7 @@
         self.said: dict[Word, set[Address]] = defaultdict(set)
         self.answered: dict[Address, list[int]] = {}
         self.logged: set[str] = set()  # reasons for which a datagram was dropped
-        self.sock = loop.machine.udp()
+        self.sock = sock
         self.sock.bind(at)
         self.task: Task = loop.spawn(self.receive())
 
--- a/maddercart/sidecar/pool.py
+++ b/maddercart/sidecar/pool.py
@@ -74,9 +74,12 @@
     def put(self, connection: Connection) -> None:
         if connection.upstream not in self.wanted:
             return self.close(connection)
+        try:
+            self.loop.rest(connection.sock.fileno(), lambda: self.drop(connection))
+        except OSError:  # epoll has no room for it
+            return self.close(connection)
         self.idle[connection.upstream].append(connection)
         connection.since = self.clock()
-        self.loop.rest(connection.sock.fileno(), lambda: self.drop(connection))
 
     def drop(self, connection: Connection) -> None:
         """An idle one that has something to read, or is too old."""
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -268,7 +268,7 @@
 
 
 def test_a_list_entry_that_cannot_be_read_costs_no_other(caplog: pytest.LogCaptureFixture) -> None:
-    upstreams = Upstreams(["a", "b"], ["m"])
+    upstreams = Upstreams(lambda: 1, ["a", "b"], ["m"])
     odd: list[object] = [
         host("x", health="DREAMING"), host("x", site="moon"), host("x", dial="nowhere"), {"host": 7}, "x",
         host("x", dial="a.name:80"), host("x", dial="127.0.0.1:99999"),
