--- a/maddercart/sidecar/decisions.py
+++ b/maddercart/sidecar/decisions.py
@@ -28,6 +28,8 @@
     query: Query
     answer: Callable[[Reply], None]
     taken: int
+    client_left: Callable[[], bool]
+    gone: bool = False  # its client has left, which the module is not told yet
     dispatches: int = 0
 
 
@@ -64,12 +66,15 @@
 
     # -- what happens
 
-    def take(self, query: Query, answer: Callable[[Reply], None]) -> int:
-        """Its time counts from when its last byte came: what the loop is behind has gone already."""
+    def take(
+        self, query: Query, answer: Callable[[Reply], None], client_left: Callable[[], bool] = lambda: False
+    ) -> int:
+        """Its time counts from when its last byte came: what the loop is behind has gone already.
+        `client_left` is asked ahead of each attempt: whether the client has closed its connection."""
         self.taken += 1
         self.counts["taken"] += 1
         number, now = self.taken, self.clock()
-        self.held[number] = Held(query, answer, now)
+        self.held[number] = Held(query, answer, now, client_left)
         behind = self.loop.behind()
         self.balancer.take(now, number, query.offering, query.remaining, behind, most=query.most)
         self.settle()
@@ -85,6 +90,11 @@
             self.balancer.left(self.clock(), number)
             self.settle()
 
+    def gone(self, number: int) -> bool:
+        """Its client was seen to have left, ahead of an attempt."""
+        held = self.held.get(number)
+        return held is not None and held.gone
+
     def learn(self, *told: tuple[Sequence[Entry], bool]) -> None:
         """Lists, or changes of one, in their order: nothing is decided before the last of them is known."""
         for entries, whole in told:
@@ -140,6 +150,8 @@
     def feed_back(self, out: Out, ended: Ended) -> None:
         ending, answer = ended
         self.counts[ending.name.lower()] += 1
+        if self.gone(out.number):
+            self.left(out.number)
         outcome, now = OUTCOMES[ending], self.clock()
         if log.isEnabledFor(logging.DEBUG):
             log.debug("dispatch ended", extra={
@@ -199,6 +211,12 @@
         def begin() -> bool:
             # Guards against repeats that go out after their window, on a connection that came up late.
             out.begun = True
+            held = self.held.get(out.number)
+            if held is not None and held.client_left():
+                # Guards against an attempt for a client that left while the process was held up.
+                held.gone = True
+            if held is None or held.gone:
+                return False
             return self.balancer.may_begin(self.clock(), out.number)
 
         return (yield from self.dispatcher.send(query, out.upstream, dial, until, begin))
