--- a/tests/faults/test_system_calls.py
+++ b/tests/faults/test_system_calls.py
@@ -9,7 +9,9 @@
 
 from maddercart.interface import MOOT
 from maddercart.net import sockets
+from maddercart.net.loop import READ, Coroutine, Loop, Wait
 from maddercart.net.startup import retry_lack
+from maddercart.sidecar.clock import Clock
 from maddercart.sidecar.endings import OUTCOMES, Ending
 from tests.helpers import Desk, answer
 
@@ -83,22 +85,31 @@
 
 
 def test_epoll_without_room_ends_one_connection_and_not_the_process(monkeypatch: pytest.MonkeyPatch) -> None:
-    """ENOSPC went through the loop and ended it."""
-    with Desk() as desk:
-        loop = desk.node.loop
-        watch, faults = loop.watch, [OSError(errno.ENOSPC, "no space left on device")]
-
-        def fails(fd: int, events: int) -> None:
-            if faults:
-                raise faults.pop()
-            watch(fd, events)
-
-        monkeypatch.setattr(loop, "watch", fails)
-        first, second = desk.client(), desk.ask()
-        upstream = desk.accept()
-        desk.read(upstream)
-        upstream.sendall(answer())
-        assert desk.reply(second) == 200 and not faults and desk.read(first) == b""
+    """ENOSPC went through the turn and ended the process."""
+    loop, seen = Loop(Clock()), []
+    first, second = socket.socketpair()
+    watch = loop.watch
+
+    def fails(fd: int, events: int) -> None:
+        if fd == second.fileno():
+            raise OSError(errno.ENOSPC, "no space left on device")
+        watch(fd, events)
+
+    def converse() -> Coroutine:
+        yield Wait(first.fileno(), READ)
+        try:
+            yield Wait(second.fileno(), READ)
+        except OSError as error:
+            seen.append(error.errno)
+
+    monkeypatch.setattr(loop, "watch", fails)
+    loop.spawn(converse())
+    second.send(b"x")
+    loop.turn()
+    assert seen == [errno.ENOSPC]
+    for sock in (first, second):
+        sock.close()
+    loop.epoll.close()
 
 
 def test_what_is_lacked_at_the_start_is_had_a_moment_later() -> None:
