Soaks: real processes under stepped clocks, failing system calls, troubles of discovery and signals

The judge shares no code with the sidecar: lost, duplicates, drains, attempts after the client left, the deadline passed on, crashes.

--- a/maddercart/rig/commands.py
+++ b/maddercart/rig/commands.py
@@ -13,6 +13,7 @@
     app.command()(load)
     app.command()(demo)
     app.command()(plays)
+    app.command()(soak)
 
 
 def loopback(text: str) -> tuple[str, int]:
@@ -153,3 +154,30 @@
             typer.echo(f"    {line}")
     typer.echo(f"{count} plays, rules broken in {broke}")
     raise typer.Exit(1 if broke else 0)
+
+
+def soak(
+    first: Annotated[int, typer.Option(min=0, help="seed of the first soak")] = 0,
+    count: Annotated[int, typer.Option(min=1, max=10_000)] = 4,
+    seconds: Annotated[float, typer.Option(min=8, max=600, help="length of each")] = 16.0,
+    parallel: Annotated[int, typer.Option(min=1, max=16, help="at a time; five processes each")] = 3,
+    logs: Annotated[Path | None, typer.Option(help="folder for the logs of each soak")] = None,
+) -> None:
+    """Real sidecar processes on loopback under stepped wall clocks, failing system calls, troubles of
+    discovery and signals; a line for each soak and for each broken rule. Exit code 1 if one broke."""
+    from concurrent.futures import ProcessPoolExecutor
+    from functools import partial
+
+    from maddercart.rig.processes.soak import run_soak
+
+    broke = 0
+    with ProcessPoolExecutor(parallel) as pool:
+        for result in pool.map(partial(run_soak, span=seconds, logs=logs), range(first, first + count)):
+            broke += bool(result.broken)
+            counted = f"{result.requests} requests, {result.answered} answered, {result.attempts} attempts"
+            verdict = f"{len(result.broken)} BROKEN" if result.broken else "rules kept"
+            typer.echo(f"{result.seed}: {counted}; {', '.join(result.events)}; {verdict}")
+            for line in result.broken[:8]:
+                typer.echo(f"    {line}")
+    typer.echo(f"{count} soaks, rules broken in {broke}")
+    raise typer.Exit(1 if broke else 0)
--- a/maddercart/rig/processes/discovery.py
+++ b/maddercart/rig/processes/discovery.py
@@ -59,7 +59,9 @@
     def __init__(self, registry: Registry) -> None:
         self.registry = registry
         self.trouble = Trouble.NONE
+        self.retired = False  # the configuration names another one: it does not come back
         self.well_since = time.monotonic()
+        self.well_before: list[tuple[float, float]] = []  # earlier spans in which calls were answered
         self.written: list[tuple[float, int]] = []
         self.watches: dict[asyncio.StreamWriter, int] = {}  # and the version that each has
         self.silent: set[asyncio.StreamWriter] = set()
@@ -73,13 +75,21 @@
 
     def begin(self, trouble: Trouble) -> None:
         """Calls fail from now on, and the watches that are open end."""
+        if self.trouble == Trouble.NONE:
+            self.well_before.append((self.well_since, time.monotonic()))
         self.trouble = trouble
         for writer in list(self.watches):
             writer.transport.abort()
         self.watches.clear()
 
     def recover(self) -> None:
-        self.trouble, self.well_since = Trouble.NONE, time.monotonic()
+        if self.trouble != Trouble.NONE and not self.retired:
+            self.trouble, self.well_since = Trouble.NONE, time.monotonic()
+
+    def well(self) -> list[tuple[float, float]]:
+        """The spans in which calls were answered."""
+        now = [(self.well_since, float("inf"))] if self.trouble == Trouble.NONE else []
+        return [*self.well_before, *now]
 
     def fall_silent(self) -> None:
         """Open watches stay open and tell nothing more."""
--- a/maddercart/rig/processes/tier.py
+++ b/maddercart/rig/processes/tier.py
@@ -64,6 +64,13 @@
         """Starts all sidecars; returns once they are ready."""
         for sidecar in self.sidecars:
             sidecar.start()
+        await self.ready()
+
+    def step_clocks_at_random(self) -> None:
+        for sidecar in self.sidecars:
+            sidecar.step_wall_clock(self.chance.choice([0, 0, 5, -5, 3600, -3600]))
+
+    async def ready(self) -> None:
         await asyncio.gather(*(asyncio.to_thread(sidecar.wait_until_ready) for sidecar in self.sidecars))
 
     def begin_clients(self, each: int, pause: float, span: float) -> None:
