--- a/maddercart/rig/processes/discovery.py
+++ b/maddercart/rig/processes/discovery.py
@@ -65,6 +65,7 @@
         self.written: list[tuple[float, int]] = []
         self.watches: dict[asyncio.StreamWriter, int] = {}  # and the version that each has
         self.silent: set[asyncio.StreamWriter] = set()
+        self.readers: dict[asyncio.StreamWriter, asyncio.StreamReader] = {}
         self.calls: list[float] = []
         registry.services.append(self)
 
@@ -97,7 +98,10 @@
 
     def tell(self) -> None:
         for writer in [writer for writer in self.watches if writer not in self.silent]:
-            self.write(writer, self.registry.since(self.watches[writer]))
+            if self.readers[writer].at_eof():  # the sidecar has closed it: nothing is told there any more
+                del self.watches[writer]
+            else:
+                self.write(writer, self.registry.since(self.watches[writer]))
 
     def write(self, writer: asyncio.StreamWriter, value: Line) -> None:
         self.chunk(writer, json.dumps(value).encode() + b"\n")
@@ -121,6 +125,7 @@
                 if self.trouble == Trouble.UNAVAILABLE:
                     writer.write(b"HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n")
                 elif b"watch=1" in head:
+                    self.readers[writer] = reader
                     await self.watch(writer, int(head.split(b"after=")[1].split(b" ")[0]))
                     return
                 else:
@@ -143,3 +148,4 @@
                 self.chunk(writer, b"\n")
         self.watches.pop(writer, None)
         self.silent.discard(writer)
+        self.readers.pop(writer, None)
--- a/maddercart/rig/processes/sidecar.py
+++ b/maddercart/rig/processes/sidecar.py
@@ -54,6 +54,7 @@
         self.starts = 0
         self.process: subprocess.Popen[bytes] | None = None
         self.crashes: list[int] = []
+        self.terminated_at: float | None = None  # by SIGTERM, in monotonic seconds
 
     def configure(self, **more: Any) -> None:
         self.configuration |= more
@@ -65,6 +66,7 @@
 
     def start(self) -> None:
         self.starts += 1
+        self.terminated_at = None
         environment = os.environ | {WALL_VARIABLE: str(self.wall), "RELAY_CONFIG": str(self.file)}
         if self.faults:
             environment[FAULTS_VARIABLE] = f"{self.starts}{self.faults}"
@@ -99,6 +101,8 @@
         if (code := self.process.poll()) is not None:
             self.crashes.append(code)
             return code
+        if number == signal.SIGTERM:
+            self.terminated_at = time.monotonic()
         self.send(number)
         try:
             return self.process.wait(within)
--- a/maddercart/sidecar/stopping.py
+++ b/maddercart/sidecar/stopping.py
@@ -32,9 +32,9 @@
     yield Wait(until=began + ACCEPT_FOR)
     if applications.acceptor is not None:
         loop.end(applications.acceptor)
-    yield from accept_rest(clock, listener, applications)
     loop.forget(listener.fileno())
-    listener.close()
+    yield from accept_rest(clock, listener, applications)
+    listener.close()  # at once: what comes between is reset
     while applications.open and clock() < last:
         applications.close_idle()
         yield Wait(until=clock() + LOOK_EVERY)
