Sidecars that discovery turns away for 2 s hear of drains from the others again

What callers would have seen: requests at draining servers where discovery answers others and turns one sidecar away for longer than 6 s. Cause: Peers.follows took discovery's first word as the end of asking. Evidence: the test with told_before, discovery out of reach after its first word: with peers.py as before it fails (requests until the clients ended), now it passes. Kept: two that say the same, closings only, taken back with discovery's next word. Asks are 2 s apart in that case.

--- a/maddercart/sidecar/peers.py
+++ b/maddercart/sidecar/peers.py
@@ -1,4 +1,4 @@
-"""The other sidecars' word for the list, in use until discovery has spoken to this one.
+"""The other sidecars' word for the list, in use while discovery does not speak to this one.
 
 A sidecar starts with the list as it last had it. Where a whole tier starts at once discovery takes seconds to
 tell them all, and till then each would send its queries to upstreams that have gone, or that have just come
@@ -25,7 +25,10 @@
 ALIKE = 2  # so many must say the same: no decision rests on one datagram, nor on one sidecar
 OLD = 2 * SECOND  # what answers an older ask is dropped: on their way datagrams take milliseconds
 AT_ONCE = 256  # datagrams read in a turn: a flood must not hold up queries
-APART = SECOND // 2  # asks of ours; a tier that starts at once asks each other some thousand times as it is
+OVERDUE = 2 * SECOND  # a third of the time after which what is missed counts; asks of ours are so far apart
+APART = (
+    SECOND // 2
+)  # or, before the first word; a tier that starts at once asks each other some thousand times as it is
 # Of a tier about so many answer an ask, by chance: with seven in ten of them gone, seven still do, and two
 # that say the same are needed. All of 200 answered, in several datagrams each.
 ANSWERS = 24
@@ -51,6 +54,7 @@
         self.loop, self.clock, self.everyone, self.upstreams = loop, clock, everyone, upstreams
         self.peers, self.hear, self.counts = frozenset(peers), hear, counts
         self.told = self.live = False  # discovery has spoken to this process; it still does
+        self.lost_at = 0  # when it last broke off
         self.asks: dict[int, int] = {}  # when each was sent, by its token, in our clock
         self.said: dict[Word, set[Address]] = defaultdict(set)
         self.answered: dict[Address, list[int]] = {}
@@ -66,17 +70,23 @@
     # -- what discovery does
 
     def follows(self, live: bool) -> None:
-        """Discovery has told the list, or has broken off."""
-        self.live, self.told = live, self.told or live
-        if self.told:
+        """Discovery has told the list, or has broken off or failed once more."""
+        if live or self.live:
             self.said.clear()
-        else:
-            self.ask()
+            self.lost_at = self.clock()
+        self.live, self.told = live, self.told or live
+        self.ask()
+
+    def heeds(self, now: int) -> bool:
+        """Whether the others' word counts: before discovery's first, and where it has been out of reach for so
+        long that it may have told them of drains."""
+        return not self.live and (not self.told or now - self.lost_at >= OVERDUE)
 
     def ask(self) -> None:
         now = self.clock()
         self.asks = {token: at for token, at in self.asks.items() if now - at <= OLD}
-        if self.told or any(now - at < APART for at in self.asks.values()):
+        apart = OVERDUE if self.told else APART
+        if not self.heeds(now) or any(now - at < apart for at in self.asks.values()):
             return
         token = self.chance.getrandbits(64)
         self.asks[token] = now
@@ -111,7 +121,7 @@
         message, now = read(data), self.clock()
         if message.kind == ASK:
             self.answer(message, sender, now)
-        elif not self.told:
+        elif self.heeds(now):
             if now - self.asks.get(message.token, now - OLD - 1) > OLD:
                 raise ValueError("answers no ask of ours, or an old one")
             self.listen(message, sender)
--- a/tests/faults/test_stepped_wall_clocks.py
+++ b/tests/faults/test_stepped_wall_clocks.py
@@ -17,15 +17,19 @@
 HOLD_UP = 0.2  # seconds: 0.15 s between a sidecar's look at its clock and a write, and 50 ms on sockets
 
 
-async def last_attempt_after_a_drain(folder: Path, at_start: float, in_the_middle: float) -> float:
+async def last_attempt_after_a_drain(
+    folder: Path, at_start: float, in_the_middle: float, told_before: bool = False
+) -> float:
     """One sidecar of three can't reach discovery and stands on a stepped machine; the drain is told to the
     others. Returns how many seconds later it last sent something to the draining upstream."""
     async with Tier(folder, seed=1) as tier:
         cut_off, drained = tier.sidecars[0], tier.upstreams[0]
-        tier.services[cut_off.name].begin(Trouble.UNAVAILABLE)
+        if not told_before:
+            tier.services[cut_off.name].begin(Trouble.UNAVAILABLE)
         cut_off.step_wall_clock(at_start)
         await tier.start()
         cut_off.step_wall_clock(in_the_middle)
+        tier.services[cut_off.name].begin(Trouble.UNAVAILABLE)
         tier.begin_clients(each=4, pause=0.02, span=TOLD_AT_THE_LATEST + GRACE + 2)
         await asyncio.sleep(0.5)
         tier.change("DRAINING", drained)
@@ -47,6 +51,12 @@
     assert last <= TOLD_AT_THE_LATEST + GRACE + HOLD_UP
 
 
+def test_a_sidecar_that_discovery_turns_away_for_long_hears_of_drains_from_others(tmp_path: Path) -> None:
+    """Once discovery had spoken, the others' word counted no more, however long it was out of reach."""
+    last = asyncio.run(last_attempt_after_a_drain(tmp_path, 3600, -5, told_before=True))
+    assert last <= TOLD_AT_THE_LATEST + GRACE + HOLD_UP
+
+
 @pytest.mark.parametrize("seed", range(20))
 def test_calls_to_a_discovery_that_fails_leave_time_for_the_list_within_6_s(seed: int) -> None:
     """The pauses grew to 12 s: what discovery told on its return was learnt that much later."""
