--- a/maddercart/sidecar/peers.py
+++ b/maddercart/sidecar/peers.py
@@ -26,9 +26,8 @@
 OLD = 2 * SECOND  # what answers an older ask is dropped: on their way datagrams take milliseconds
 AT_ONCE = 256  # datagrams read in a turn: a flood must not hold up queries
 OVERDUE = 2 * SECOND  # a third of the time after which what is missed counts; asks of ours are so far apart
-APART = (
-    SECOND // 2
-)  # or, before the first word; a tier that starts at once asks each other some thousand times as it is
+# Before the first word: a tier that starts at once asks some thousand times as it is.
+APART = SECOND // 2
 # Of a tier about so many answer an ask, by chance: with seven in ten of them gone, seven still do, and two
 # that say the same are needed. All of 200 answered, in several datagrams each.
 ANSWERS = 24
@@ -78,8 +77,8 @@
         self.ask()
 
     def heeds(self, now: int) -> bool:
-        """Whether the others' word counts: before discovery's first, and where it has been out of reach for so
-        long that it may have told them of drains."""
+        """Whether the others' word counts: before discovery's first, and once it has been out of reach for
+        long enough to have told them of drains."""
         return not self.live and (not self.told or now - self.lost_at >= OVERDUE)
 
     def ask(self) -> None:
