--- a/Makefile
+++ b/Makefile
@@ -7,9 +7,10 @@
 	bash deploy/build
 
 test: build lab-tools
-	.venv/bin/python -m pytest -q
+	.venv/bin/python -m pytest -q -n 4
 
 lint: build lab-tools
+	.venv/bin/ruff format --check .
 	.venv/bin/ruff check .
 	.venv/bin/mypy
 
--- a/maddercart/lab/experiment.py
+++ b/maddercart/lab/experiment.py
@@ -63,7 +63,8 @@
     """A digest of the decisions and of the model."""
     root = Path(maddercart.__file__).parent
     told = blake2b(digest_size=8)
-    for path in [root / "logic.py", root / "interface.py", *sorted((root / "lab").glob("*.py"))]:
+    modules = [*sorted((root / "policy").glob("*.py")), *sorted((root / "lab").glob("*.py"))]
+    for path in [root / "interface.py", *modules]:
         if path.stem not in ("commands", "report", "plots", "results", "story"):
             told.update(path.read_bytes())
     return told.hexdigest()
--- a/maddercart/lab/policies.py
+++ b/maddercart/lab/policies.py
@@ -27,7 +27,7 @@
     Report,
 )  # fmt: skip
 from maddercart.lab.servers import GOLDEN
-from maddercart.logic import Balancer
+from maddercart.policy.balancer import Balancer
 
 if TYPE_CHECKING:
     from maddercart.lab.sidecars import Ask, Policy, Sidecar
--- a/maddercart/sidecar/backing.py
+++ b/maddercart/sidecar/backing.py
@@ -7,9 +7,9 @@
 from typing import Any
 
 from maddercart.interface import DRAINING, GONE, READY, Entry
-from maddercart.logic import Balancer
 from maddercart.messages.upstreams import Listing
 from maddercart.net.loop import Loop
+from maddercart.policy.balancer import Balancer
 from maddercart.sidecar.decisions import Decisions
 from maddercart.sidecar.dispatches import Dispatcher
 from maddercart.sidecar.endings import Ending, of_status
--- a/maddercart/sidecar/decisions.py
+++ b/maddercart/sidecar/decisions.py
@@ -9,10 +9,10 @@
 from hdrh.histogram import HdrHistogram
 
 from maddercart.interface import DONE, MILLISECOND, Decision, Entry
-from maddercart.logic import Balancer
 from maddercart.messages.answer import Reply, aborted, bounced, done
 from maddercart.messages.query import Query
 from maddercart.net.loop import SOON, Coroutine, Loop, Task, Wait
+from maddercart.policy.balancer import Balancer
 from maddercart.sidecar.dispatches import Dispatcher, Ended
 from maddercart.sidecar.endings import OUTCOMES, Ending
 from maddercart.sidecar.pool import Address
--- a/maddercart/wirehost/host.py
+++ b/maddercart/wirehost/host.py
@@ -4,7 +4,7 @@
 from typing import BinaryIO
 
 from maddercart.interface import DONE, SECOND, Decision, Entry, Report
-from maddercart.logic import Balancer
+from maddercart.policy.balancer import Balancer
 from maddercart.translation import balancer_arguments
 from maddercart.wirehost import frames as f
 from maddercart.wirehost.settings import read_settings, report_order
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from maddercart import interface as i
-from maddercart.logic import Balancer
+from maddercart.policy.balancer import Balancer
 from maddercart.sidecar.configuration import usable
 from maddercart.sidecar.node import Node
 
--- a/tests/lab/test_referee.py
+++ b/tests/lab/test_referee.py
@@ -14,7 +14,7 @@
 from maddercart.lab.policies import AtRandom, Held
 from maddercart.lab.referee import Referee, Terms
 from maddercart.lab.world import World
-from maddercart.logic import Balancer
+from maddercart.policy.balancer import Balancer
 from tests.lab.days import ONCE, POST, day
 
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -5,7 +5,7 @@
 import pytest
 
 from maddercart import interface as i
-from maddercart.logic import Query
+from maddercart.policy.ledger import Query
 from tests.helpers import COLD, MS, Host, entry, offering, permits
 
 PROBING = permits(probes=True)
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -153,7 +153,7 @@
 
 def test_a_watch_that_is_silent_leaves_time_for_two_calls() -> None:
     """What it misses counts as told 6 s after its last line; 5 s of silence and 3 s for a call were more."""
-    from maddercart.logic import Balancer
+    from maddercart.policy.balancer import Balancer
     from maddercart.sidecar.discovery import ANSWER_WITHIN, SILENCE
 
     pause = int(1.5 * Balancer.FOLLOW_FIRST)
--- a/tests/test_told_plays.py
+++ b/tests/test_told_plays.py
@@ -6,7 +6,7 @@
 import pytest
 
 from maddercart.interface import SECOND
-from maddercart.logic import Balancer
+from maddercart.policy.balancer import Balancer
 from maddercart.rig.plays import play
 from maddercart.sidecar import discovery
 from maddercart.sidecar.dispatches import Dispatcher
