--- a/maddercart/sidecar/backing.py
+++ b/maddercart/sidecar/backing.py
@@ -26,8 +26,7 @@
 
 
 def log_list(listing: Listing, entries: Sequence[Entry]) -> None:
-    if entries or listing.whole:
-        log.info("list learnt", extra={"seq": listing.seq, "whole": listing.whole, **conditions(entries)})
+    log.info("list learnt", extra={"seq": listing.seq, "whole": listing.whole, **conditions(entries)})
 
 
 class Backing:
@@ -58,8 +57,10 @@
             told.append(([known[number] for number in sorted(self.heard) if number in known], False))
             self.heard.clear()
         for listing in listings:
+            before = set(self.upstreams.ready)
             entries = self.upstreams.learn(listing)
-            log_list(listing, entries)
+            if listing.whole or before != self.upstreams.ready:
+                log_list(listing, entries)
             told.append((entries, listing.whole))
         self.decisions.learn(*told)
         self.pool.drop_unwanted()
