A request read in part is answered before its place goes to another

Where places had run out, a connection on which half a request had come was closed with no answer after 0.5 s, and what its client still wrote was reset: lost by the rule on connections that are read and closed. It gets its 408 now and goes as any that was refused. test_a_request_that_was_read_in_part... failed before (an end with no answer), passes now.

--- a/maddercart/sidecar/applications.py
+++ b/maddercart/sidecar/applications.py
@@ -9,7 +9,7 @@
 from maddercart.http.application import MOST_BODY, ApplicationSide, Request, Unreadable
 from maddercart.interface import MILLISECOND, SECOND
 from maddercart.messages.answer import Reply, unfit
-from maddercart.net.loop import NOTHING, READ, WOKEN, Coroutine, Loop, Task, Wait
+from maddercart.net.loop import NOTHING, READ, TIME_UP, WOKEN, Coroutine, Loop, Task, Wait
 from maddercart.net.sockets import accept, close, ended, read, read_now, write
 from maddercart.sidecar.decisions import Decisions
 from maddercart.sidecar.fronts import Front, Unfit
@@ -110,11 +110,20 @@
                 if now - since < keeps:
                     break
                 if application.task is not None and (phase == Phase.REFUSED or application.silent()):
-                    self.counts["crowded_out"] += 1
-                    self.loop.end(application.task)
-                    return True
+                    return self.evict(application, application.task)
         return False
 
+    def evict(self, application: Application, task: Task) -> bool:
+        """True if its place is free now or soon. What has been read in part gets an answer before it goes."""
+        if application.phase != Phase.PART:
+            self.counts["crowded_out"] += 1
+            self.loop.end(task)
+            return True
+        if self.phases[Phase.REFUSED]:  # the place of one that has its answer is free in a moment
+            return False
+        self.loop.resume(task, TIME_UP)
+        return True
+
     def crowded(self) -> bool:
         """A place is worth more than a connection that is kept: half are taken, a third by such that rest.
         A new connection for each query costs CPU: silent ones alone, or many that are used, don't count."""
--- a/tests/faults/test_leaving.py
+++ b/tests/faults/test_leaving.py
@@ -60,3 +60,13 @@
         desk.turn(lambda: desk.node.loop.stopped)
         client.settimeout(0.1)
         assert client.recv(4096).startswith(b"HTTP/1.1 503"), "redoable: it may be asked elsewhere"
+
+
+def test_a_request_that_was_read_in_part_is_answered_before_its_place_goes_to_another() -> None:
+    """Its connection was closed with no answer, and reset under what its client still wrote."""
+    with Desk() as desk:
+        desk.node.applications.most = 1
+        half, other = desk.client(), desk.client()
+        half.sendall(b"GET /look HTTP/1.1\r\nHost: x\r\n")
+        other.sendall(b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+        assert desk.reply(half) == 408 and desk.reply(other) == 200
