Settings short of a key, or with an odd value, are rejected whole

Cause: the typed settings had a default for nearly every key, some of them the loosest rule there is (`group` "all", `group_size` 1, no `ask_within`, no `stop_sending_within`), and a few values meant "not given" (0 for `ask_within` and `hard_stop`, null for `confined_to`). Ruled out: a rejected file that is applied in part; terms, options, budgets, quotas and discovery are the same objects after a rejection.

An upstream whose line has no `block` shares a cell with no other. Renumbering offerings under settings without zones no longer raises IndexError.

The rig's and the benchmark's configurations too.

--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -46,14 +46,24 @@
     silent = socket.create_server(("127.0.0.1", 0))
     OPEN_SOCKETS.append(silent)
     offering = {"name": "look", "semantics": "free", "agreed_time": 0.5, "hard_stop": 1.0}
+    offering |= {"earnings": 1.0, "tardy_earnings": 0.0}
+    limits = {
+        "most_dispatches": 3, "cancel": True, "probing": False, "retry_after": False, "max_retry_after": 0.0,
+        "connect_timeout": 0.25, "idle_close": 30.0, "may_tell": False,
+    }  # fmt: skip
+    rules = {
+        "cold_from": 0.2, "ramp_time": 10.0, "fall_multiple": 3.0, "overload_for": 1.0,
+        "ask_within": 10.0, "stop_sending_within": 1.0,
+    }  # fmt: skip
     return json.dumps({
         "name": "n0", "listen": f"127.0.0.1:{port}", "discovery": f"127.0.0.1:{silent.getsockname()[1]}",
         "seed": "8c1f", "known": {"seq": 1, "whole": True, "hosts": hosts},
         "settings": {
-            "offerings": [offering], "limits": {"most_dispatches": 3, "cancel": True},
-            "rules": {"cold_from": 0.2, "ramp_time": 10.0, "fall_multiple": 3.0, "overload_for": 1.0},
-            "discovery": "ask", "zones": ["a", "b"], "kinds": ["m"],
+            "offerings": [offering], "limits": limits, "rules": rules,
+            "charges": {"cross_zone": 0.0}, "feedback": {"fields": []}, "self_index": 0, "group_size": 1,
+            "discovery": "ask", "zone": 0, "zones": ["a", "b"], "kinds": ["m"],
         },
+        "limits": {"sockets": 1024, "memory_mb": 192},
     })  # fmt: skip
 
 
--- a/maddercart/interface.py
+++ b/maddercart/interface.py
@@ -142,7 +142,8 @@
         """A copy with new zone and kind numbers, each indexed by the old number; -1: no longer exists."""
 
         def translate(numbers: frozenset[int] | None, new_numbers: Sequence[int]) -> frozenset[int] | None:
-            return numbers and frozenset(new_numbers[old] for old in numbers if new_numbers[old] >= 0)
+            former = dict(enumerate(new_numbers))
+            return numbers and frozenset(new for old in numbers if (new := former.get(old, -1)) >= 0)
 
         return self._replace(zones=translate(self.zones, zones), kinds=translate(self.kinds, kinds))
 
--- a/maddercart/messages/config.py
+++ b/maddercart/messages/config.py
@@ -1,53 +1,55 @@
 """The configuration of a sidecar and the settings of its deployment.
 
-Field names are JSON keys. Times and rates are in seconds and per second, as they are written in the file.
+Field names are JSON keys. Times and rates are in seconds and per second, as they are written in the file. A
+field has a default only if the platform's pages let its key be absent: a file that lacks any other key is
+incomplete, and a default would put terms in force that nobody has given.
 """
 
 import msgspec
-from msgspec import Struct
+from msgspec import UNSET, Struct, UnsetType
 
 from maddercart.messages.upstreams import Listing
 
 
 class Charges(Struct, frozen=True):
-    cross_zone: float = 0.0
+    cross_zone: float
 
 
 class Feedback(Struct, frozen=True):
-    fields: list[str] = []
+    fields: list[str]
 
 
 class Limits(Struct, frozen=True):
     """The `limits` section of the settings."""
 
     most_dispatches: int
-    cancel: bool = False
-    probing: bool = False
-    retry_after: bool = False
-    max_retry_after: float = 0.0
-    connect_timeout: float = 0.25
-    idle_close: float = 30.0
+    cancel: bool
+    probing: bool
+    retry_after: bool
+    max_retry_after: float
+    connect_timeout: float
+    idle_close: float
+    may_tell: bool  # whether sidecars may send datagrams to each other
     max_streams: int = 1
-    may_tell: bool = False  # whether sidecars may send datagrams to each other
 
 
 class OfferingTerms(Struct, frozen=True):
     """The terms of one request class.
 
-    `confined_to` and `kinds_open` list the only zones and machine kinds that its queries may be sent to; None
-    allows all, an empty list none.
+    `group` and `window` may be absent unless the class is keyed (`guarded`). `confined_to` and `kinds_open`
+    list the only zones and machine kinds that its queries may be sent to; all if absent, none if empty.
     """
 
+    name: str
     semantics: str
     agreed_time: float
-    name: str = ""
-    group: str = "all"
-    window: float = 0.0
-    earnings: float = 1.0
-    tardy_earnings: float = 0.0
-    hard_stop: float = 0.0
-    confined_to: list[str | int] | None = None
-    kinds_open: list[str | int] | None = None
+    hard_stop: float
+    earnings: float
+    tardy_earnings: float
+    group: str | UnsetType = UNSET
+    window: float | UnsetType = UNSET
+    confined_to: list[str | int] | UnsetType = UNSET
+    kinds_open: list[str | int] | UnsetType = UNSET
 
 
 class Party(Struct, frozen=True):
@@ -63,17 +65,17 @@
 class Rules(Struct, frozen=True):
     """The `rules` section of the settings.
 
-    `ask_within` is the maximum age of a polled upstream list (0: not given). `stop_sending_within` is the
-    grace period of a drain. `removal_not_binding` allows queries to an upstream that was removed from the
-    list without having been drained.
+    `ask_within` is the maximum age of a polled upstream list; it may be absent where lists are pushed.
+    `stop_sending_within` is the grace period of a drain. `removal_not_binding` allows queries to an upstream
+    that was removed from the list without having been drained.
     """
 
     cold_from: float
     ramp_time: float
     fall_multiple: float
     overload_for: float
-    ask_within: float = 0.0
-    stop_sending_within: float = 0.0
+    stop_sending_within: float
+    ask_within: float | UnsetType = UNSET
     removal_not_binding: bool = False
 
 
@@ -86,31 +88,35 @@
     offerings: list[OfferingTerms]
     limits: Limits
     rules: Rules
-    charges: Charges = Charges()
-    feedback: Feedback = Feedback()
-    discovery: str = ""
+    charges: Charges
+    feedback: Feedback
+    discovery: str
+    self_index: int
+    group_size: int
+    zone: int
+    zones: list[str]
+    kinds: list[str]
     weight_kind: str = "none"
-    self_index: int = 0
-    group_size: int = 1
-    zone: int = 0
-    zones: list[str] = []
-    kinds: list[str] = []
     parties: list[Party] = []
 
 
 class MachineLimits(Struct, frozen=True):
-    sockets: int = 1024
-    memory_mb: float = 192.0
+    """What the machine grants the process: file descriptors, and megabytes of memory."""
+
+    sockets: int
+    memory_mb: float
 
 
 class Config(Struct, frozen=True):
+    """The configuration file of one sidecar."""
+
     name: str
     listen: str
     discovery: str
     seed: str
     settings: Settings
     known: Listing
-    limits: MachineLimits = MachineLimits()
+    limits: MachineLimits
     peer_listen: str = ""
     peers: list[str] = []
     peers_all: str = ""
--- a/maddercart/messages/upstreams.py
+++ b/maddercart/messages/upstreams.py
@@ -3,14 +3,14 @@
 from typing import Any
 
 import msgspec
-from msgspec import Struct, field
+from msgspec import UNSET, Struct, UnsetType, field
 
 
 class Host(Struct, frozen=True):
     """One upstream.
 
     `born_ms` is its start as a Unix timestamp in milliseconds, or 0 if it started long ago. `kind` is written
-    `class` in JSON.
+    `class` in JSON. `block` is the group that deduplicates repeats; an upstream without one shares none.
     """
 
     host: str
@@ -18,7 +18,7 @@
     site: str
     health: str
     kind: str = field(name="class", default="")
-    block: int = 0
+    block: int | UnsetType = UNSET
     share: float = 1.0
     born_ms: float = 0.0
 
--- a/maddercart/rig/plays.py
+++ b/maddercart/rig/plays.py
@@ -187,13 +187,14 @@
     # -- the sidecar
 
     def configuration(self, known: dict[str, Any]) -> bytes:
-        shared_terms = {"group": "zone", "agreed_time": 0.4}
+        shared_terms = {"group": "zone", "agreed_time": 0.4, "earnings": 1.0, "tardy_earnings": 0.0}
         shared_terms |= {"hard_stop": self.hard_stop_ms / 1000, "window": self.idempotency_window / SECOND}
         effects = (("look", "free"), ("post", "guarded"), ("once", "single_shot"))
         settings = {
             "offerings": [{"name": name, "semantics": effect} | shared_terms for name, effect in effects],
             "limits": {
-                "most_dispatches": 3, "cancel": True, "retry_after": True, "max_retry_after": 1.0,
+                "most_dispatches": 3, "cancel": True, "probing": False,
+                "retry_after": True, "max_retry_after": 1.0,
                 "may_tell": self.may_tell_peers, "connect_timeout": self.connect_timeout / SECOND,
                 "idle_close": self.idle_close,
             },
@@ -201,12 +202,13 @@
                 "cold_from": 0.2, "ramp_time": 4.0, "fall_multiple": 3.0, "overload_for": 1.0,
                 "ask_within": self.ask_within / SECOND, "stop_sending_within": self.drain_grace / SECOND,
             },
-            "discovery": "push" if self.push else "ask", "group_size": 1, "kinds": ["m"],
+            "discovery": "push" if self.push else "ask", "group_size": 1, "self_index": 0, "kinds": ["m"],
+            "zone": 0, "charges": {"cross_zone": 0.0}, "feedback": {"fields": []},
             "zones": list("abc"[: self.zone_count]),
         }  # fmt: skip
         return json.dumps({
             "name": "n0", "listen": "{}:{}".format(*LISTEN_ADDRESS), "seed": "8c1f",
-            "settings": settings,
+            "settings": settings, "limits": {"sockets": 1024, "memory_mb": 192},
             "known": known, "discovery": "{}:{}".format(*DISCOVERY_ADDRESSES[self.active_discovery]),
             "peer_listen": "{}:{}".format(*PEER_LISTEN_ADDRESS),
             "peers_all": "10.3.255.1:7946", "peers": ["10.3.0.1:7946", "10.3.0.2:7946"],
--- a/maddercart/rig/processes/sidecar_process.py
+++ b/maddercart/rig/processes/sidecar_process.py
@@ -32,8 +32,15 @@
 
 def build_settings(index: int, sidecar_count: int) -> dict[str, Any]:
     """The deployment settings of the sidecar `index` in a group of `sidecar_count`."""
-    terms = {"group": "zone", "agreed_time": 0.8, "hard_stop": HARD_STOP_SECONDS, "window": 1.0}
-    limits = {"most_dispatches": 3, "cancel": True, "retry_after": True, "max_retry_after": 1.0}
+    terms: dict[str, Any] = {
+        "group": "zone",
+        "agreed_time": 0.8,
+        "hard_stop": HARD_STOP_SECONDS,
+        "window": 1.0,
+    }
+    terms |= {"earnings": 1.0, "tardy_earnings": 0.0}
+    limits: dict[str, Any] = {"most_dispatches": 3, "cancel": True, "probing": False}
+    limits |= {"retry_after": True, "max_retry_after": 1.0}
     rules = {"cold_from": 0.2, "ramp_time": 4.0, "fall_multiple": 3.0, "overload_for": 1.0}
     return {
         "offerings": [
@@ -42,8 +49,11 @@
         "limits": limits | {"connect_timeout": 0.25, "idle_close": 30.0, "may_tell": sidecar_count > 1},
         "rules": rules
         | {"ask_within": ASK_WITHIN_SECONDS, "stop_sending_within": STOP_SENDING_WITHIN_SECONDS},
+        "charges": {"cross_zone": 0.0},
+        "feedback": {"fields": []},
         "discovery": "ask",
         "self_index": index,
+        "zone": 0,
         "group_size": sidecar_count,
         "zones": ["a"],
         "kinds": ["m"],
--- a/maddercart/sidecar/upstreams.py
+++ b/maddercart/sidecar/upstreams.py
@@ -6,6 +6,7 @@
 from hashlib import blake2b
 
 import msgspec
+from msgspec import UnsetType
 
 from maddercart.interface import DRAINING, GONE, READY, ListEntry
 from maddercart.messages.upstreams import Host, Listing, decode_host
@@ -17,6 +18,7 @@
 # Entries of upstreams that have left. When the limit is passed half of it is kept, so that a whole release
 # can still be told to a sidecar that starts.
 MAX_GONE_KEPT = 4096
+NO_CELL_OFFSET = -1  # less the upstream's number: the cell of an upstream that has none, which no other has
 CONDITIONS = {"SERVING": READY, "DRAINING": DRAINING, "DELETED": GONE}  # by the list's health
 
 
@@ -166,4 +168,5 @@
         (self.ready.add if condition == READY else self.ready.discard)(number)
         kind = self.kinds.get(host.kind, len(self.kinds))
         launched = self.start_times.record_stamp(number, clamp_stamp_ms(host.born_ms), reference_ms)
-        return ListEntry(number, self.zones[host.site], kind, host.block, condition, host.share, launched)
+        cell = NO_CELL_OFFSET - number if isinstance(host.block, UnsetType) else host.block
+        return ListEntry(number, self.zones[host.site], kind, cell, condition, host.share, launched)
--- a/maddercart/wirehost/settings.py
+++ b/maddercart/wirehost/settings.py
@@ -21,18 +21,30 @@
         node = tree
         for parent in parents:
             node = node.setdefault(parent, {})
+            if not isinstance(node, dict):
+                raise SettingsError(f"setting {path} lies below one that has a value of its own")
         node[name] = [item for item in value.split(",") if item] if name in LISTS else value
     try:
         return msgspec.convert(merge_lists(tree), Settings, strict=False)
-    except (msgspec.ValidationError, KeyError, ValueError) as error:
+    except (msgspec.ValidationError, ValueError) as error:
         raise SettingsError(f"settings cannot be read: {error}") from error
 
 
-def merge_lists(tree: dict[str, Any]) -> Any:
-    """Converts each dict with a key `count` to a list, whose items are under the keys 0, 1 and so forth."""
+def merge_lists(tree: dict[str, Any], prefix: str = "") -> Any:
+    """Converts each dict with a key `count` to a list, whose items are under the keys 0, 1 and so forth.
+
+    `prefix` begins the names of the settings in the tree. Raises `SettingsError` if an item is absent, and
+    `ValueError` if a count is not a number.
+    """
     if "count" in tree:
-        return [merge_lists(tree[str(n)]) for n in range(int(tree["count"]))]
-    return {name: merge_lists(value) if isinstance(value, dict) else value for name, value in tree.items()}
+        numbers = [str(number) for number in range(int(tree["count"]))]
+        if missing := [number for number in numbers if not isinstance(tree.get(number), dict)]:
+            raise SettingsError(f"setting {prefix}{missing[0]} is missing")
+        return [merge_lists(tree[number], f"{prefix}{number}.") for number in numbers]
+    return {
+        name: merge_lists(value, f"{prefix}{name}.") if isinstance(value, dict) else value
+        for name, value in tree.items()
+    }
 
 
 def report_order(settings: Settings) -> tuple[int, ...]:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -16,7 +16,42 @@
 from maddercart.sidecar.node import SidecarNode
 
 MS = i.MILLISECOND
+MAX_SETTING_SECONDS = 1e6  # of a duration, so that the age of the list limits nothing
 TRACE_NUMBERS = count(1000)  # gives each request its own trace id
+# Settings as the simulator writes them, with every key that the pages don't let be absent.
+WIRE_SETTINGS = """discovery=ask
+group_size=1
+self_index=0
+zone=0
+zones=a,b
+kinds=
+charges.cross_zone=0.0
+limits.most_dispatches=4
+limits.cancel=true
+limits.probing=false
+limits.retry_after=false
+limits.max_retry_after=0.0
+limits.connect_timeout=0.25
+limits.idle_close=30.0
+limits.may_tell=false
+feedback.fields=avg_ms,rps,waiting
+offerings.count=1
+offerings.0.name=post
+offerings.0.semantics=guarded
+offerings.0.group=all
+offerings.0.window=0.0
+offerings.0.agreed_time=0.8
+offerings.0.hard_stop=1.0
+offerings.0.earnings=1.0
+offerings.0.tardy_earnings=0.0
+parties.count=0
+rules.cold_from=0.13
+rules.ramp_time=24.0
+rules.fall_multiple=3.0
+rules.overload_for=1.0
+rules.ask_within=10.0
+rules.stop_sending_within=1.0
+"""
 
 
 def offering(effect: int = i.REDOABLE, deduplication_scope: int = i.EVERYWHERE, **more: Any) -> i.Offering:
@@ -123,14 +158,26 @@
 def sidecar_config(hosts: list[dict[str, Any]], **more: Any) -> bytes:
     """JSON configuration with the offerings `look` (redoable), `post` (labelled), `once` (irreversible)."""
     terms = {"group": "zone", "agreed_time": 0.5, "hard_stop": 1.0, "window": 1.0}
+    terms |= {"earnings": 1.0, "tardy_earnings": 0.0}
     effects = (("look", "free"), ("post", "guarded"), ("once", "single_shot"))
     offerings = [{"name": name, "semantics": effect} | terms for name, effect in effects]
-    limits = {"most_dispatches": 3, "cancel": True, "retry_after": True, "max_retry_after": 1.0}
+    limits = {
+        "most_dispatches": 3,
+        "cancel": True,
+        "probing": False,
+        "retry_after": True,
+        "max_retry_after": 1.0,
+    }
     settings = {
         "offerings": offerings,
         "limits": limits | {"connect_timeout": 0.1, "idle_close": 30.0, "may_tell": True},
-        "rules": {"cold_from": 0.2, "ramp_time": 10.0, "fall_multiple": 3.0, "overload_for": 1.0},
-        "discovery": "ask", "group_size": 1, "zones": ["a", "b"], "kinds": ["m"],
+        "rules": {
+            "cold_from": 0.2, "ramp_time": 10.0, "fall_multiple": 3.0, "overload_for": 1.0,
+            "ask_within": MAX_SETTING_SECONDS, "stop_sending_within": 0.0,
+        },
+        "charges": {"cross_zone": 0.0}, "feedback": {"fields": []},
+        "discovery": "ask", "group_size": 1, "self_index": 0,
+        "zone": 0, "zones": ["a", "b"], "kinds": ["m"],
     }  # fmt: skip
     configuration = {
         "name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "8c1f",
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -14,7 +14,7 @@
 from maddercart.messages.upstreams import Listing
 from maddercart.sidecar.upstreams import Upstreams, upstream_number
 from maddercart.wirehost.settings import read_settings
-from tests.helpers import http_response, list_line, request
+from tests.helpers import WIRE_SETTINGS, http_response, list_line, request
 
 OFFERINGS = {"look": 0, "post": 1}
 LENGTH, CHUNKED = b"Content-Length: 5", b"Transfer-Encoding: chunked"
@@ -309,26 +309,9 @@
 # -- settings
 
 
-SETTINGS = """discovery=ask
-zones=a,b
-kinds=
-limits.most_dispatches=4
-limits.cancel=true
-feedback.fields=avg_ms,rps,waiting
-offerings.count=1
-offerings.0.semantics=guarded
-offerings.0.agreed_time=0.8
-parties.count=0
-rules.cold_from=0.13
-rules.ramp_time=24.0
-rules.fall_multiple=3.0
-rules.overload_for=1.0
-"""
-
-
 def test_the_simulators_settings_are_converted_to_balancer_arguments() -> None:
-    arguments = balancer_arguments(read_settings(SETTINGS))
-    assert balancer_arguments(read_settings(SETTINGS + "parties=\n")) == arguments, (
+    arguments = balancer_arguments(read_settings(WIRE_SETTINGS))
+    assert balancer_arguments(read_settings(WIRE_SETTINGS + "parties=\n")) == arguments, (
         "no parties: an empty line"
     )
     assert arguments["offerings"] == [i.Offering(i.LABELLED, i.EVERYWHERE, 0, 800 * i.MILLISECOND, 1.0, 0.0)]
@@ -347,4 +330,4 @@
 )  # fmt: skip
 def test_an_invalid_setting_is_an_error(old: str, new: str) -> None:
     with pytest.raises(SettingsError):
-        balancer_arguments(read_settings(SETTINGS.replace(old, new)))
+        balancer_arguments(read_settings(WIRE_SETTINGS.replace(old, new)))
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -11,6 +11,7 @@
 from maddercart.messages.config import Settings
 from maddercart.wirehost.settings import read_settings
 from tests.helpers import (
+    WIRE_SETTINGS,
     BalancerHarness,
     SidecarHarness,
     entry,
@@ -125,13 +126,10 @@
 def test_sidecar_and_simulator_settings_restrict_offerings_alike() -> None:
     import msgspec
 
-    text = "\n".join([
-        "offerings.count=1", "offerings.0.semantics=free", "offerings.0.agreed_time=0.5",
-        "zones=a,b", "kinds=m", "offerings.0.confined_to=1", "offerings.0.kinds_open=",
-        "limits.most_dispatches=2",
-        "rules.cold_from=0.2", "rules.ramp_time=1", "rules.fall_multiple=3", "rules.overload_for=1",
-        "rules.removal_not_binding=true",
-    ])  # fmt: skip
+    text = (
+        WIRE_SETTINGS.replace("semantics=guarded", "semantics=free").replace("kinds=\n", "kinds=m\n")
+        + "offerings.0.confined_to=1\nofferings.0.kinds_open=\nrules.removal_not_binding=true\n"
+    )
     by_number = balancer_arguments(read_settings(text))
     named = settings(confined_to=["b", "b"], kinds_open=[])
     named["rules"]["removal_not_binding"] = True
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -534,7 +534,10 @@
         harness.read(upstream := harness.accept())
         other = socket.create_server(("127.0.0.1", 0))
         harness.open_sockets.append(other)
-        harness.config |= {"discovery": "{}:{}".format(*other.getsockname()), "limits": {"sockets": 80}}
+        harness.config |= {
+            "discovery": "{}:{}".format(*other.getsockname()),
+            "limits": {"sockets": 80, "memory_mb": 192},
+        }
         harness.node.reload()
         new = harness.accept_from(other)
         assert harness.read(new).startswith(b"GET /api/targets HTTP/1.1\r\n")
@@ -896,7 +899,8 @@
 @pytest.mark.parametrize(
     ("more", "named_in_reason"),
     [({"zone": 7}, "zone"), ({"offerings": []}, "offerings"), ({"weight_kind": "heavy"}, "weight_kind"),
-     ({"rules": {"cold_from": 0.2, "ramp_time": -1, "fall_multiple": 3, "overload_for": 1}}, "ramp_time"),
+     ({"rules": {"cold_from": 0.2, "ramp_time": -1, "fall_multiple": 3, "overload_for": 1,
+                 "ask_within": 10, "stop_sending_within": 1}}, "ramp_time"),
      ({"zones": ["a", "a", "b"]}, "zones"), ({"parties": [{"quota_per_s": -1}]}, "parties.0.quota_per_s"),
      ({"limits": {"most_dispatches": "x"}}, "most_dispatches"), ({"rules": {"cold_from": 0.2}}, "rules")],
 )  # fmt: skip
