One turn of the loop does a limited amount, whatever peers send at once

Cause: what came in one read, up to 64 KiB, was worked off in the turn that read it, since a coroutine gives the turn back only where it waits. Ruled out: slow writing.

Change: NEXT_TURN is yielded between the messages of one read. The loop resumes 64 client connections or 10 ms of them a turn, the rest first in the next, and their waiting counts. A connection whose next request lies in memory is not idle. A request that came in time is served though it is read late.

--- a/maddercart/gateway/pools.py
+++ b/maddercart/gateway/pools.py
@@ -153,6 +153,7 @@
                 self.loop, self.clock, service_address, self.upstream_pool.upstreams, learn, failed
             )
             self.upstream_pool.dispatcher.has_unread_updates = self.discovery.has_unread_updates
+            self.upstream_pool.dispatcher.has_unapplied_updates = self.discovery.has_unapplied_updates
             self.discovery.follow()
         elif pool.file:
             path = self.base_dir / pool.file
@@ -174,6 +175,7 @@
         if self.discovery is not None:
             self.discovery.close()
             self.upstream_pool.dispatcher.has_unread_updates = lambda: False
+            self.upstream_pool.dispatcher.has_unapplied_updates = lambda: False
         self.watch_task = self.discovery = None
 
     # -- reload
--- a/maddercart/http/client.py
+++ b/maddercart/http/client.py
@@ -5,6 +5,8 @@
 
 import h11
 
+from maddercart.http.parsing import MAX_EVENTS_PER_TURN
+
 
 class MalformedResponse(ValueError):
     """The received data is not a valid HTTP response or exceeds the size limit."""
@@ -19,13 +21,18 @@
 
 
 class ClientProtocol:
-    """One connection, which carries one request at a time; `max_body_bytes` limits the body of a response."""
+    """One connection, which carries one request at a time; `max_body_bytes` limits the body of a response.
+
+    `unfinished` is true if the last call of `feed` or `parse` left received data that can be parsed, for a
+    later turn of the loop.
+    """
 
     def __init__(self, max_body_bytes: int) -> None:
         self.max_body_bytes = max_body_bytes
         self.connection = h11.Connection(h11.CLIENT)
         self.response: h11.Response | None = None
         self.body = bytearray()
+        self.unfinished = False
 
     @property
     def body_bytes(self) -> int:
@@ -46,14 +53,24 @@
         return data + (self.connection.send(h11.EndOfMessage()) or b"")
 
     def feed(self, data: bytes) -> Response | None:
-        """Returns the response once it is complete, else None.
+        """Adds received data and parses it; see `parse`.
 
-        Empty data means that the upstream has closed its sending side. Raises `MalformedResponse`, also for a
-        response that the close has truncated.
+        Empty data means that the upstream has closed its sending side.
         """
         try:
             self.connection.receive_data(data)
-            while True:
+        except h11.RemoteProtocolError as error:
+            raise MalformedResponse(str(error)) from error
+        return self.parse()
+
+    def parse(self) -> Response | None:
+        """Returns the response once it is complete, else None.
+
+        Raises `MalformedResponse`, also for a response that a close has truncated.
+        """
+        self.unfinished = False
+        try:
+            for _ in range(MAX_EVENTS_PER_TURN):
                 event = self.connection.next_event()
                 if event is h11.NEED_DATA or event is h11.PAUSED:
                     return None
@@ -70,6 +87,8 @@
                     return Response(response.status_code, response.headers.raw_items(), bytes(body))
                 elif isinstance(event, h11.ConnectionClosed):
                     return None
+            self.unfinished = True
+            return None
         except h11.RemoteProtocolError as error:
             raise MalformedResponse(str(error)) from error
 
--- a/maddercart/http/json_splitter.py
+++ b/maddercart/http/json_splitter.py
@@ -20,10 +20,17 @@
 
 
 class JsonSplitter:
-    """`max_bytes` is the maximum size of a value that is not complete yet."""
+    """`max_bytes` is the maximum size of a value that is not complete yet.
+
+    `unfinished` is true if the last call of `feed` or `split` left data that can be scanned, for a later turn
+    of the loop.
+    """
+
+    MAX_BRACKETS_PER_CALL = 2048  # scanned one by one; the entries of a list need none
 
     def __init__(self, max_bytes: int) -> None:
         self.max_bytes = max_bytes
+        self.unfinished = False
         self.buffer = bytearray()
         self.position = self.depth = 0  # end of the scanned part of the buffer, and its nesting depth
         self.in_string = False
@@ -34,11 +41,20 @@
         return bool(self.depth)
 
     def feed(self, data: bytes) -> list[bytes]:
-        """Returns the values that are now complete. Raises `JsonStreamError`."""
+        """Adds received data and scans it; see `split`."""
         self.buffer += data
+        return self.split()
+
+    def split(self) -> list[bytes]:
+        """Returns the values that are now complete. Raises `JsonStreamError`."""
         values: list[bytes] = []
-        start = 0
+        start = brackets = 0
+        self.unfinished = False
         while self.position < len(self.buffer):
+            if brackets == self.MAX_BRACKETS_PER_CALL:
+                self.unfinished = True
+                break
+            brackets += 1
             if self.in_string:
                 self.position = self.match_end(STRING_REST)
                 if self.position < len(self.buffer) and self.buffer[self.position] == QUOTE:
--- a/maddercart/http/server.py
+++ b/maddercart/http/server.py
@@ -6,6 +6,8 @@
 
 import h11
 
+from maddercart.http.parsing import MAX_EVENTS_PER_TURN
+
 MAX_BODY_BYTES = 65536  # maximum size of a request body in bytes, set by the protocol
 MAX_HEAD_BYTES = 16384  # request line and headers; a usual limit among servers
 
@@ -42,7 +44,8 @@
 
     Pipelined requests are returned one at a time: the next one only once the previous one has been answered.
     `max_body_bytes` limits the body of a request. `closing` is true once no further request can follow: the
-    client has closed its sending side, or the last response closes the connection.
+    client has closed its sending side, or the last response closes the connection. `unfinished` is true if
+    the last call of `next_request` left received data that can be parsed, for a later turn of the loop.
     """
 
     def __init__(self, max_body_bytes: int = MAX_BODY_BYTES) -> None:
@@ -51,7 +54,7 @@
         self.request: h11.Request | None = None
         self.body = bytearray()
         self.is_head_request = False  # of the last request, whose response has no body
-        self.closing = False
+        self.closing = self.unfinished = False
 
     def feed(self, data: bytes) -> None:
         """Adds received bytes; empty data means that the application has closed its sending side."""
@@ -68,8 +71,14 @@
         return self.request is not None or bool(self.connection.trailing_data[0])
 
     def next_request(self) -> Request | None:
-        """Returns a complete request, or None if more data is needed. Raises `RequestError`."""
-        while not self.closing:
+        """Returns a complete request, or None if more data is needed or parsing is `unfinished`.
+
+        Raises `RequestError`.
+        """
+        self.unfinished = False
+        for _ in range(MAX_EVENTS_PER_TURN):
+            if self.closing:
+                return None
             try:
                 event = self.connection.next_event()
             except h11.RemoteProtocolError as error:
@@ -89,6 +98,7 @@
                 return Request(request.method, request.target, request.headers.raw_items(), body)
             else:
                 self.closing = True
+        self.unfinished = not self.closing
         return None
 
     def check_framing(self, request: h11.Request) -> None:
--- a/maddercart/http/watch.py
+++ b/maddercart/http/watch.py
@@ -6,6 +6,7 @@
 import h11
 
 from maddercart.http.json_splitter import JsonSplitter, JsonStreamError
+from maddercart.http.parsing import MAX_LIST_EVENTS_PER_TURN
 
 MAX_VALUE_BYTES = 4 * 1024 * 1024  # enough for a full list of about ten thousand upstreams
 
@@ -22,7 +23,8 @@
     """One connection to discovery: successive requests, the last of which may be the watch.
 
     `host` is the value of the Host header. `request_sent` is true once a request was made,
-    `response_complete` once its response is complete and a further request may follow.
+    `response_complete` once its response is complete and a further request may follow. `unfinished` is true
+    if the last call of `feed` or `parse` left received data that can be parsed, for a later turn of the loop.
     """
 
     def __init__(self, host: str) -> None:
@@ -31,6 +33,7 @@
         self.splitter = JsonSplitter(MAX_VALUE_BYTES)
         self.request_sent = False
         self.response_complete = False
+        self.unfinished = False
 
     @property
     def value_started(self) -> bool:
@@ -49,14 +52,26 @@
         return data + (self.connection.send(h11.EndOfMessage()) or b"")
 
     def feed(self, data: bytes) -> list[bytes]:
+        """Adds received data and parses it; see `parse`."""
+        try:
+            self.connection.receive_data(data)
+        except h11.RemoteProtocolError as error:
+            raise WatchError(str(error)) from error
+        return self.parse()
+
+    def parse(self) -> list[bytes]:
         """Returns the JSON values that are now complete. Whitespace between them is only a keep-alive signal.
 
         Raises `WatchError`.
         """
         values: list[bytes] = []
+        self.unfinished = False
         try:
-            self.connection.receive_data(data)
-            while True:
+            if self.splitter.unfinished:
+                values += self.splitter.split()
+            for _ in range(MAX_LIST_EVENTS_PER_TURN):
+                if self.splitter.unfinished:
+                    break
                 event = self.connection.next_event()
                 if event is h11.NEED_DATA or event is h11.PAUSED:
                     return values
@@ -71,6 +86,8 @@
                     return values
                 elif isinstance(event, h11.ConnectionClosed):
                     raise WatchError("discovery closed the connection")
+            self.unfinished = True
+            return values
         except h11.RemoteProtocolError as error:
             raise WatchError(str(error)) from error
         except JsonStreamError as error:
--- a/maddercart/net/loop.py
+++ b/maddercart/net/loop.py
@@ -2,8 +2,10 @@
 
 A coroutine yields a `Wait` and is resumed with the reason for which the wait ended: epoll events,
 DEADLINE_PASSED or WOKEN. A turn of the loop polls epoll once, resumes the coroutines that waited for the
-reported events, ordered by rank, then those that were woken, and then runs the timers that are due. All times
-are in nanoseconds of the loop's clock.
+reported events, ordered by rank, then those that were woken, and then runs the timers that are due. Of the
+lowest rank a turn resumes a limited number, and the others first in the next turn, so that the number of
+peers that send at once does not decide how long a turn lasts. All times are in nanoseconds of the loop's
+clock.
 """
 
 import logging
@@ -29,18 +31,34 @@
 
 # Ranks, which order the coroutines of a turn: those that finish work run before those that start more.
 RANK_FIRST, RANK_SOON, RANK_LAST = 0, 1, 2
+# Coroutines of RANK_LAST resumed in a turn, by number and by time; each handles at most one request.
+MAX_LAST_RESUMPTIONS, MAX_LAST_NS = 64, 10 * MILLISECOND
 
 
 class Wait(NamedTuple):
     """What a coroutine waits for.
 
     With `fd` -1 it waits only for `deadline` and for `Loop.wake`. `events` is an epoll mask.
-    `deadline` is an instant of the loop's clock; None means no deadline.
+    `deadline` is an instant of the loop's clock; None means no deadline. With `next_turn` it is woken in the
+    next turn.
     """
 
     fd: int = -1
     events: int = NO_EVENTS
     deadline: int | None = None
+    next_turn: bool = False
+
+
+# Yielded between the messages of one read, so that other coroutines run and timers fire in between.
+NEXT_TURN = Wait(next_turn=True)
+
+
+class DueResumption(NamedTuple):
+    """Why a coroutine is to be resumed."""
+
+    resumptions: int  # those of the task when it fell due; it is out of date once the task was resumed
+    reason: int
+    since: int  # the earliest time at which the event can have occurred
 
 
 Coroutine = Generator[Wait, int, None]
@@ -81,6 +99,7 @@
         self.clear_threshold = self.MIN_CLEANUP_TIMERS  # number of timers
         self.timer_count = 0  # sequence number: timers of the same time run in the order they were set
         self.woken: list[tuple[Task, int]] = []  # task, its resumption count when it was woken
+        self.due: dict[Task, DueResumption] = {}  # to be resumed; between turns those that were put off
         self.stopped = False
         # The time of the last poll, and the earliest time at which its events can have occurred.
         self.polled_at = self.events_since = clock()
@@ -132,7 +151,9 @@
                 fault = error
 
     def suspend(self, task: Task, wait: Wait) -> None:
-        fd, events, deadline = wait
+        fd, events, deadline, next_turn = wait
+        if next_turn:
+            self.wake(task)
         if fd >= 0:
             if self.registered.get(fd) != events:
                 self.set_events(fd, events)
@@ -227,7 +248,7 @@
     # -- turns
 
     def max_event_delay(self) -> int:
-        """The maximum time in nanoseconds for which the events of this turn may have been pending."""
+        """The maximum time in nanoseconds for which the event that is being handled may have been pending."""
         return self.clock() - self.events_since
 
     def run(self) -> None:
@@ -237,7 +258,7 @@
     def poll(self) -> list[tuple[int, int]]:
         timeout_seconds = -1.0
         before = self.clock()
-        if self.woken:
+        if self.woken or self.due:
             timeout_seconds = 0.0
         elif self.timers:
             timeout_seconds = max(0, self.timers[0][0] - before) / SECOND
@@ -249,20 +270,45 @@
         return events
 
     def run_once(self) -> None:
-        due: list[tuple[Task, int, int]] = []  # task, its resumption count, reason
         for fd, events in self.poll():
             if (task := self.waiting_tasks.get(fd)) is not None:
-                due.append((task, task.resumptions, events))
+                self.add_due(task, task.resumptions, events)
             elif (call := self.readable_callbacks.pop(fd, None)) is not None:
                 call()
             else:
                 self.unregister(fd)
-        due.sort(key=rank)
-        due += [(task, resumptions, WOKEN) for task, resumptions in self.woken]
+        for task, resumptions in self.woken:
+            self.add_due(task, resumptions, WOKEN)
         self.woken.clear()
-        for task, resumptions, reason in due:
-            if task.resumptions == resumptions and task.coroutine is not None:
-                self.resume(task, reason)
+        self.resume_due()
+        self.run_timers()
+
+    def add_due(self, task: Task, resumptions: int, reason: int) -> None:
+        """Notes that a coroutine is to be resumed, unless that is noted already."""
+        noted = self.due.get(task)
+        if noted is None or noted.resumptions != task.resumptions:
+            self.due[task] = DueResumption(resumptions, reason, self.events_since)
+
+    def resume_due(self) -> None:
+        """Resumes the coroutines that are due by rank; of the last rank only some, the longest due first."""
+        due, self.due = self.due, {}
+        turn_since, resumed, last_began_at = self.events_since, 0, NEVER
+        for task in sorted(due, key=rank):
+            noted = due[task]
+            if task.coroutine is None or task.resumptions != noted.resumptions:
+                continue
+            if task.rank == RANK_LAST:
+                now = self.clock()
+                last_began_at = min(last_began_at, now)
+                if resumed == MAX_LAST_RESUMPTIONS or now - last_began_at >= MAX_LAST_NS:
+                    self.due[task] = noted
+                    continue
+                resumed += 1
+            self.events_since = noted.since
+            self.resume(task, noted.reason)
+        self.events_since = turn_since
+
+    def run_timers(self) -> None:
         now = self.clock()
         if self.timers and now - self.timers[0][0] > LATE_TIMER_NS:
             log.warning("stood still", extra={"ms": (now - self.timers[0][0]) // MILLISECOND})
@@ -274,5 +320,5 @@
                 log.exception("timer failed")  # must not affect the others
 
 
-def rank(event: tuple[Task, int, int]) -> int:
-    return event[0].rank
+def rank(task: Task) -> int:
+    return task.rank
--- a/maddercart/sidecar/applications.py
+++ b/maddercart/sidecar/applications.py
@@ -9,7 +9,17 @@
 from maddercart.http.server import MAX_BODY_BYTES, Request, RequestError, ServerProtocol
 from maddercart.interface import MILLISECOND, SECOND
 from maddercart.messages.responses import ClientResponse, client_error_response
-from maddercart.net.loop import DEADLINE_PASSED, NO_EVENTS, READ, WOKEN, Coroutine, Loop, Task, Wait
+from maddercart.net.loop import (
+    DEADLINE_PASSED,
+    NEXT_TURN,
+    NO_EVENTS,
+    READ,
+    WOKEN,
+    Coroutine,
+    Loop,
+    Task,
+    Wait,
+)
 from maddercart.net.sockets import accept, close, closed_by_peer, read, read_available, write
 from maddercart.sidecar.decisions import BalancerDriver
 from maddercart.sidecar.request_handlers import RejectedRequest, RequestHandler
@@ -167,32 +177,18 @@
             close(self.loop, connection.sock)
 
     def handle_requests(self, connection: ApplicationConnection) -> Generator[Wait, int, None]:
-        """Answers requests one by one until the connection ends. Raises `OSError` if it breaks."""
+        """Answers requests one by one, at most one in a turn of the loop, until the connection ends.
+
+        Raises `OSError` if it breaks.
+        """
         protocol, sock = connection.protocol, connection.sock
         while not protocol.closing:
             try:
-                request = protocol.next_request()
-                if request is None:
-                    if protocol.closing or not (
-                        yield from write(sock, protocol.continue_response(), self.write_deadline())
-                    ):
-                        return
-                    if protocol.request_started and connection.phase != Phase.PART:
-                        self.enter_phase(connection, Phase.PART)
-                    data = yield from read(sock, connection.phase_deadline)
-                    if data is None and not protocol.request_started:
-                        return
-                    if data is None:
-                        raise RequestError(408, "the request did not come in time")
-                    protocol.feed(data)
-                    continue
+                request = yield from self.read_request(connection)
             except RequestError as error:
-                refusal = self.reject(error.status, str(error))
-                out = protocol.serialize_response(refusal.status, refusal.headers(), refusal.body, close=True)
-                self.enter_phase(connection, Phase.REFUSED)
-                if not (yield from write(sock, out, connection.phase_deadline)):
-                    return
-                return (yield from self.discard_input(connection))
+                return (yield from self.refuse(connection, error))
+            if request is None:
+                return
             self.enter_phase(connection, Phase.BUSY)
             reply = yield from self.handle(connection, request)
             if reply is None:
@@ -205,6 +201,52 @@
             )
             if not (yield from write(sock, out, self.write_deadline())):
                 return
+            if protocol.unparsed_bytes:
+                # The next request has come already. The connection stays BUSY meanwhile: one that is IDLE may
+                # be closed.
+                yield NEXT_TURN
+            else:
+                self.enter_phase(connection, Phase.IDLE)
+
+    def read_request(self, connection: ApplicationConnection) -> Generator[Wait, int, Request | None]:
+        """The next request; None if the connection is to be closed. Raises `RequestError` and `OSError`."""
+        protocol, sock = connection.protocol, connection.sock
+        while (request := protocol.next_request()) is None:
+            if protocol.unfinished:
+                self.enter_read_phase(connection)
+                yield NEXT_TURN
+                continue
+            if protocol.closing or not (
+                yield from write(sock, protocol.continue_response(), self.write_deadline())
+            ):
+                return None
+            self.enter_read_phase(connection)
+            data = yield from read(sock, connection.phase_deadline)
+            if data is None:  # it may have come in time, while the loop was busy with others
+                data = read_available(sock)
+            if data is None and not protocol.request_started:
+                return None
+            if data is None:
+                raise RequestError(408, "the request did not come in time")
+            protocol.feed(data)
+        return request
+
+    def refuse(self, connection: ApplicationConnection, error: RequestError) -> Generator[Wait, int, None]:
+        """Answers a request that is not acceptable, after which the connection ends."""
+        refusal = self.reject(error.status, str(error))
+        out = connection.protocol.serialize_response(
+            refusal.status, refusal.headers(), refusal.body, close=True
+        )
+        self.enter_phase(connection, Phase.REFUSED)
+        if (yield from write(connection.sock, out, connection.phase_deadline)):
+            yield from self.discard_input(connection)
+
+    def enter_read_phase(self, connection: ApplicationConnection) -> None:
+        """Enters the phase in which the rest of a request, or the next one, is read."""
+        if connection.protocol.request_started:
+            if connection.phase != Phase.PART:
+                self.enter_phase(connection, Phase.PART)
+        elif connection.phase == Phase.BUSY:
             self.enter_phase(connection, Phase.IDLE)
 
     def write_deadline(self) -> int:
--- a/maddercart/sidecar/discovery.py
+++ b/maddercart/sidecar/discovery.py
@@ -15,7 +15,7 @@
 from maddercart.http.watch import InvalidListing, WatchError, WatchProtocol
 from maddercart.interface import MILLISECOND, SECOND
 from maddercart.messages.upstreams import Listing, decode_listing
-from maddercart.net.loop import RANK_FIRST, Coroutine, Loop, Task, Wait
+from maddercart.net.loop import NEXT_TURN, RANK_FIRST, Coroutine, Loop, Task, Wait
 from maddercart.net.sockets import close, connect, read, write
 from maddercart.sidecar.upstreams import Upstreams
 
@@ -35,6 +35,10 @@
 # broken watch, and the list of a new service this long after the SIGHUP that names it.
 MISSED_CHANGES_DEADLINE_NS, SERVICE_MOVE_DEADLINE_NS = 6 * SECOND, 4 * SECOND
 
+# Listings applied in a turn of the loop. After a stall several come in one read, and a read has room for
+# thousands.
+MAX_LISTINGS_PER_TURN = 64
+
 
 class WatchConnection:
     """One connection to a discovery service, for an optional request of the whole list and then a watch."""
@@ -48,6 +52,7 @@
         self.task: Task | None = None
         self.last_received_at = 0  # on the watch; 0: nothing yet
         self.read_timeout = 0  # until the first list has arrived
+        self.has_unapplied = False  # part of what was read is put off to the next turn
         self.value_started_at = 0  # when the first byte of an incomplete value arrived; 0: there is none
 
 
@@ -58,8 +63,9 @@
     ) -> None:  # fmt: skip
         """Opens no connection before `follow` is called.
 
-        `on_listings` gets all listings of one read. `on_failure` gets the nanoseconds that remain until
-        missed changes count as told, or None if there is no such time or it has passed.
+        `on_listings` gets the listings of one read, a limited number of them in a turn. `on_failure` gets the
+        nanoseconds that remain until missed changes count as told, or None if there is no such time or it has
+        passed.
         """
         self.loop, self.clock, self.address, self.upstreams = loop, clock, address, upstreams
         self.on_listings, self.on_failure = on_listings, on_failure
@@ -153,6 +159,13 @@
                 return True
         return False
 
+    def has_unapplied_updates(self) -> bool:
+        """Whether listings that were read are not applied yet."""
+        return any(
+            connection is not None and connection.has_unapplied
+            for connection in (self.current, self.previous)
+        )
+
     # -- one connection
 
     def close_connection(self, connection: WatchConnection) -> None:
@@ -240,16 +253,28 @@
                 else "a list was incomplete"
             )
         values = connection.protocol.feed(data)
-        connection.value_started_at = (
-            (connection.value_started_at or self.clock())
-            if connection.protocol.value_started and not values
-            else 0
-        )
-        if values:
-            self.handle_values(connection, values)
+        yield from self.handle_read(connection, values)
+
+    def handle_read(self, connection: WatchConnection, values: list[bytes]) -> Generator[Wait, int, None]:
+        """Handles the values of one read, also those still to be parsed, in as many turns as needed."""
+        protocol = connection.protocol
+        started_at = connection.value_started_at or self.clock()
+        any_complete = bool(values)
+        while True:
+            batch, values = values[:MAX_LISTINGS_PER_TURN], values[MAX_LISTINGS_PER_TURN:]
+            connection.has_unapplied = bool(values) or protocol.unfinished
+            if batch:
+                self.handle_values(connection, batch)
+            if not connection.has_unapplied:
+                break
+            yield NEXT_TURN
+            if not values:
+                values = protocol.parse()
+                any_complete = any_complete or bool(values)
+        connection.value_started_at = started_at if protocol.value_started and not any_complete else 0
 
     def handle_values(self, connection: WatchConnection, values: Sequence[bytes]) -> None:
-        """Applies all listings of one read in one step.
+        """Applies several listings in one step.
 
         Raises `InvalidListing` for a value that can't be read or whose version went back, once the listings
         before it have been applied; the whole list is requested after that.
--- a/maddercart/sidecar/dispatches.py
+++ b/maddercart/sidecar/dispatches.py
@@ -7,7 +7,7 @@
 from maddercart.interface import MILLISECOND
 from maddercart.messages.query import Query
 from maddercart.messages.responses import UpstreamResponse, parse_response
-from maddercart.net.loop import Wait
+from maddercart.net.loop import NEXT_TURN, Wait
 from maddercart.net.sockets import LOCAL_RESOURCE_ERRNOS, connect, read, write
 from maddercart.sidecar.connection_pool import Address, Connection, ConnectionPool
 from maddercart.sidecar.endings import Ending, ending_of_status
@@ -29,8 +29,9 @@
         """`may_send` tells whether an upstream may get a new query at an address, by the list as known now.
         `classify` gives the ending for an answer's status and whether the answer says that it never ran."""
         self.pool, self.clock, self.may_send, self.classify = pool, clock, may_send, classify
-        # whether discovery has sent something not read yet
+        # Whether discovery has sent something that is not read yet, or was read and is not applied yet.
         self.has_unread_updates: Callable[[], bool] = lambda: False
+        self.has_unapplied_updates: Callable[[], bool] = lambda: False
         self.connect_timeout_ns = 0
         self.body_bytes = self.max_body_bytes = 0  # of partly received answers, all together, and the limit
 
@@ -53,12 +54,10 @@
             # A drain may have been announced while the connection came up, which took up to 250 ms: what
             # counts is the first byte written, not the choice of the upstream. In a long turn of the loop,
             # as with a small share of a core, the list may also have changed since the last poll.
-            while (
-                self.clock() - self.pool.loop.polled_at > self.MAX_POLL_AGE_NS
-                and self.has_unread_updates()
-                and self.clock() < deadline
-            ):
-                yield Wait(deadline=self.clock())
+            while self.list_may_be_outdated():
+                if self.clock() >= deadline:
+                    return Ending.WITHDRAWN, None
+                yield NEXT_TURN
             if not (may_write() and self.may_send(upstream, address)):
                 return Ending.WITHDRAWN, None
             ending = yield from self.write_request(connection, query, deadline)
@@ -79,6 +78,11 @@
             else:
                 self.pool.close(connection)
 
+    def list_may_be_outdated(self) -> bool:
+        """Whether discovery has told changes that are not applied yet."""
+        poll_age = self.clock() - self.pool.loop.polled_at
+        return self.has_unapplied_updates() or (poll_age > self.MAX_POLL_AGE_NS and self.has_unread_updates())
+
     def connect_upstream(self, connection: Connection, deadline: int) -> Generator[Wait, int, Ending | None]:
         """None once the connection is up, otherwise how it ended."""
         connect_deadline = min(deadline, self.clock() + self.connect_timeout_ns)
@@ -109,7 +113,13 @@
                 data = yield from read(connection.sock, deadline)
                 if data is None:
                     return Ending.TIME_UP, None
-                if (whole_answer := connection.protocol.feed(data)) is not None:
+                whole_answer = connection.protocol.feed(data)
+                while whole_answer is None and connection.protocol.unfinished:
+                    yield NEXT_TURN
+                    if self.clock() >= deadline:
+                        return Ending.TIME_UP, None
+                    whole_answer = connection.protocol.parse()
+                if whole_answer is not None:
                     return Ending.ANSWERED, whole_answer
                 if not data:
                     return Ending.BROKE_WRITTEN, None
--- a/maddercart/sidecar/endings.py
+++ b/maddercart/sidecar/endings.py
@@ -12,7 +12,8 @@
 
     NO_ADDRESS = auto()  # the upstream has left the list since it was chosen
     NO_DESCRIPTOR = auto()  # no local socket, port or buffer was left for a new connection
-    WITHDRAWN = auto()  # the upstream drained, left or moved before the first byte was written
+    # Before the first byte the upstream drained, left or moved, or the list was not known in time.
+    WITHDRAWN = auto()
     REFUSED = auto()  # the connection was refused
     NEVER_CAME_UP = auto()  # not connected within the connect timeout or the dispatch's own limit
     BROKE_UNWRITTEN = auto()  # the connection broke before the last byte of the request was written
--- a/maddercart/sidecar/node.py
+++ b/maddercart/sidecar/node.py
@@ -62,6 +62,7 @@
             self.on_list_failed
         )  # fmt: skip
         self.upstream_pool.dispatcher.has_unread_updates = self.discovery.has_unread_updates
+        self.upstream_pool.dispatcher.has_unapplied_updates = self.discovery.has_unapplied_updates
         # The last known list while the first from discovery is awaited.
         self.unconfirmed: Listing | None = None
         self.peers: Peers | None = None
--- a/maddercart/sidecar/peers.py
+++ b/maddercart/sidecar/peers.py
@@ -35,7 +35,8 @@
 
 MIN_AGREEING_PEERS = 2  # no decision rests on one datagram or on one sidecar
 ASK_LIFETIME_NS = 2 * SECOND  # answers to older asks are dropped; datagrams take milliseconds
-MAX_DATAGRAMS_PER_TURN = 256  # read in one turn of the loop, so that a flood does not delay queries
+# Read in one turn of the loop, so that a flood does not delay queries; each may have the whole list searched.
+MAX_DATAGRAMS_PER_TURN = 32
 # How long discovery must be out of reach before peers are asked and believed, and the interval of asks then:
 # a third of the time after which missed changes count as told.
 DISCOVERY_OVERDUE_NS = 2 * SECOND
