A request's wait in the backlog counts towards its time

Cause: on a new connection the wait before it was accepted was counted by nobody; the read that follows is an event of its own. Not shown: that the soak's own process stamped the attempt late (its delays were 0.04 to 0.07 s).

Change: a connection that has data when it is accepted remembers since when, and its first request has that much less time, unless its last byte came later.

Test: in tests/test_sidecar.py, failed before (told 898 ms of 498).

--- a/maddercart/sidecar/applications.py
+++ b/maddercart/sidecar/applications.py
@@ -53,6 +53,7 @@
 class ApplicationConnection:
     __slots__ = (
         "driver", "phase", "phase_deadline", "protocol", "query_number", "reply", "sock", "task", "waiting",
+        "waiting_since",
     )  # fmt: skip
 
     def __init__(self, sock: socket.socket, max_body: int) -> None:
@@ -63,6 +64,8 @@
         self.driver: BalancerDriver | None = None  # holds that query
         self.reply: ClientResponse | None = None
         self.waiting = False  # the task waits for the reply and must be woken
+        # The earliest time at which a request can have come that was there when the connection was accepted.
+        self.waiting_since: int | None = None
 
     def is_silent(self) -> bool:
         """Whether there is no received data that was not read yet."""
@@ -115,6 +118,8 @@
             if (sock := accept(listener)) is None:
                 return True
             connection = ApplicationConnection(sock, self.max_body_bytes)
+            if not connection.is_silent():
+                connection.waiting_since = self.loop.events_since
             self.connections.add(connection)
             self.enter_phase(connection, Phase.NEW)
             connection.task = self.loop.spawn(self.serve(connection))
@@ -220,6 +225,8 @@
                 yield from write(sock, protocol.continue_response(), self.write_deadline())
             ):
                 return None
+            if protocol.request_started:
+                connection.waiting_since = None  # its last byte came after the connection was accepted
             self.enter_read_phase(connection)
             data = yield from read(sock, connection.phase_deadline)
             if data is None:  # it may have come in time, while the loop was busy with others
@@ -269,6 +276,8 @@
         if isinstance(opened, RejectedRequest):
             return self.reject(opened.status, opened.reason)
         connection.reply = None
+        waited = self.wait_before_accept(connection)
+        opened.query.remaining = max(MILLISECOND, opened.query.remaining - waited)
         if self.answer_deadline is not None:
             left = max(MILLISECOND, self.answer_deadline - self.clock())
             opened.query.remaining = min(opened.query.remaining, left)
@@ -290,6 +299,12 @@
             self.handler.query_finished(opened)
         return connection.reply
 
+    def wait_before_accept(self, connection: ApplicationConnection) -> int:
+        """How long the first request of a connection waited, in nanoseconds, before the loop saw it: in the
+        backlog of the listener while the process was held up."""
+        since, connection.waiting_since = connection.waiting_since, None
+        return 0 if since is None else max(0, self.loop.events_since - since)
+
     def reject(self, status: int, reason: str) -> ClientResponse:
         self.counts["unfit"] += 1
         log.debug("request rejected", extra={"status": status, "reason": reason})
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -930,6 +930,22 @@
     assert done.stdout == b"lives"
 
 
+def test_request_that_waited_in_the_backlog_is_sent_with_the_time_that_its_client_has_left() -> None:
+    """A soak beside load: an upstream was told 1.463 s of 1.272 s, as nobody counted the time before the
+    connection was accepted."""
+    with SidecarHarness() as harness:
+        harness.run_for(0.02)
+        client = harness.send_request(expires="900m")
+        began = time.monotonic()
+        time.sleep(0.4)  # the process is held up
+        head = harness.read(upstream := harness.accept())
+        left_ms = 900 - (time.monotonic() - began) * 1000
+        told = next(line for line in head.split(b"\r\n") if line.startswith(b"X-Expires-In: "))
+        assert told.endswith(b"u") and int(told[len("X-Expires-In: ") : -1]) / 1000 <= left_ms + 150
+        upstream.sendall(http_response())
+        assert harness.response_status(client) == 200
+
+
 def test_unread_log_lines_do_not_block_the_process() -> None:
     """Writing to a full pipe would block the only thread that serves."""
     code = (
