--- a/review/5/case.py
+++ b/review/5/case.py
@@ -25,12 +25,13 @@
     request_bytes,
 )
 
-SIDECARS, CLIENTS_EACH, MEAN_PAUSE_SECONDS = 8, 4, 0.08
+SIDECARS, CLIENTS_EACH, MEAN_PAUSE_SECONDS = 8, 8, 0.08
 ZONES, SERVERS, ROUNDS = ["brussel", "gent"], 8, 11
-WORK_SECONDS = (0.008, 0.02)
+WORK_SECONDS = (0.087, 0.158)  # of a `sign-record`, with its waits on others
 GRACE_SECONDS, SLACK_SECONDS = 1.0, 0.05  # `rules.stop_sending_within`; each limit is 50 ms longer on sockets
 # Of each round: how long discovery is down, when the release begins in it, and the time after its return.
 DOWN_SECONDS, RELEASE_AFTER_SECONDS, AFTER_SECONDS = 5.0, 2.0, 3.3
+DRAIN_SECONDS = 4.25  # from when a server begins to drain to its end
 OFFERINGS: list[dict[str, Any]] = [
     {"name": "sign-record", "semantics": "single_shot", "agreed_time": 0.75, "hard_stop": 2.5,
      "earnings": 5.0, "tardy_earnings": 0.0, "stream": False},
@@ -70,9 +71,9 @@
     sock.close()
 
 
-def release(discovery: Discovery, ports: dict[str, int], record: Record) -> dict[str, float]:
+def release(discovery: Discovery, upstreams: Upstreams, record: Record) -> dict[str, float]:
     """Replaces two servers a round, one of each zone. Returns when each counts as told that it drains."""
-    told_at: dict[str, float] = {}
+    ports, told_at = upstreams.ports, dict[str, float]()
     names = list(ports)
     for turn in range(ROUNDS):
         began = now()
@@ -94,7 +95,10 @@
             discovery.set_down(False)
             record.add("discovery is back")
             told_at |= dict.fromkeys(leaving, now())
-        time.sleep(AFTER_SECONDS)
+        time.sleep(max(0.0, began + RELEASE_AFTER_SECONDS + DRAIN_SECONDS - now()))
+        for name in leaving:
+            upstreams.end_server(name)
+        time.sleep(max(0.0, began + DOWN_SECONDS + AFTER_SECONDS - now()))
         for zone, name in enumerate(leaving):
             discovery.tell(host_line(name, ports[name], ZONES[zone], "DELETED"))
     return told_at
@@ -121,7 +125,7 @@
         for thread in threads:
             thread.start()
         time.sleep(1)
-        told_at = release(discovery, upstreams.ports, record)
+        told_at = release(discovery, upstreams, record)
         for thread in threads:
             thread.join(10)
         if any(sidecar.process.poll() is not None for sidecar in sidecars):
@@ -140,13 +144,16 @@
     late = [
         (entry["at"] - told_at[entry["upstream"]], entry["id"], entry["upstream"])
         for entry in entries
-        if entry["at"] - told_at.get(entry["upstream"], entry["at"]) > GRACE_SECONDS + SLACK_SECONDS
+        if entry["what"] == "run"
+        and entry["at"] - told_at.get(entry["upstream"], entry["at"]) > GRACE_SECONDS + SLACK_SECONDS
     ]
+    aborted = {entry["id"] for entry in record.entries if entry.get("status") == "502"}
+    cut = len({name for _, name, _ in late} & aborted)
     runs = sum(entry["what"] == "run" for entry in entries)
     summary = [
         f"trouble {TROUBLE}: {runs} requests came to upstreams, {len(told_at)} of which were told to drain;",
         f"{len(late)} came over {GRACE_SECONDS + SLACK_SECONDS} s after that,"
-        f" the latest after {max(late, default=(0.0,))[0]:.3f} s",
+        f" the latest after {max(late, default=(0.0,))[0]:.3f} s; {cut} of these requests were aborted (502)",
         *(f"{name} came to {upstream} {after:.3f} s after it was told" for after, name, upstream in late),
     ]
     record.write(Path(__file__).parent / "record.txt", entries, summary)
--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -8,7 +8,6 @@
 import json
 import os
 import random
-import select
 import signal
 import socket
 import subprocess
@@ -71,29 +70,32 @@
 
     def __init__(self, terms: dict[str, Any], record: Any) -> None:
         self.name, self.terms, self.record = terms["name"], terms, record
-        self.random = random.Random(terms["name"])
+        self.random, self.ended, self.socks = random.Random(terms["name"]), False, set[socket.socket]()
         self.listener = socket.create_server(("127.0.0.1", 0), backlog=256)
         self.port = self.listener.getsockname()[1]
         threading.Thread(target=self.accept, daemon=True).start()
 
     def accept(self) -> None:
-        while True:
-            sock, _ = self.listener.accept()
+        while not self.ended:
+            try:
+                sock, _ = self.listener.accept()
+            except OSError:
+                return
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self.socks.add(sock)
             threading.Thread(target=self.serve, args=(sock,), daemon=True).start()
 
     def serve(self, sock: socket.socket) -> None:
         messages = Messages(sock)
         try:
             while (message := messages.next()) is not None:
-                self.answer(sock, messages, message)
+                self.answer(sock, message)
         except OSError:
             pass
+        self.socks.discard(sock)
         sock.close()
 
-    def answer(
-        self, sock: socket.socket, messages: Messages, message: tuple[str, dict[str, str], bytes, float]
-    ) -> None:
+    def answer(self, sock: socket.socket, message: tuple[str, dict[str, str], bytes, float]) -> None:
         first, headers, _, came_at = message
         trace = headers.get("x-trace-id", "")
         entry = {
@@ -105,14 +107,18 @@
         time.sleep(self.random.uniform(low, high))
         body = json.dumps({"answer_to": trace, "by": self.name}).encode() + b"\n"
         answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+        if self.ended:
+            raise OSError("the server has ended")
         sock.sendall(answer)
-        if self.random.random() < self.terms.get("second_answers", 0.0):
-            low, high = self.terms["second_late_s"]
-            time.sleep(self.random.uniform(low, high))
-            # Only when nothing else waits on the connection: looked at right ahead of the write.
-            if not messages.buffer and not select.select([sock], [], [], 0)[0]:
-                sock.sendall(answer)
-                self.record({"at": now(), "what": "second answer", "upstream": self.name, "id": trace})
+
+    def end(self) -> None:
+        """The process ends: its connections end with it, and new ones are refused."""
+        self.ended = True
+        self.record({"at": now(), "what": "server ends", "upstream": self.name})
+        self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+        for sock in list(self.socks):
+            sock.shutdown(socket.SHUT_RDWR)
 
 
 def run_upstreams(path: str) -> None:
@@ -126,7 +132,9 @@
 
         servers = [Upstream(server, record) for server in terms["servers"]]
         print(json.dumps({server.name: server.port for server in servers}), flush=True)
-        sys.stdin.read()  # until the test ends
+        by_name = {server.name: server for server in servers}
+        for line in sys.stdin:  # until the test ends
+            by_name[line.strip()].end()
 
 
 class Upstreams:
@@ -139,14 +147,19 @@
         terms.write_text(json.dumps({"record": str(self.record_file), "servers": servers}))
         self.process = subprocess.Popen(
             [sys.executable, __file__, "upstreams", str(terms)],
-            stdin=subprocess.PIPE, stdout=subprocess.PIPE,
+            stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True,
         )  # fmt: skip
-        assert self.process.stdout is not None
+        assert self.process.stdin is not None and self.process.stdout is not None
+        self.stdin = self.process.stdin
         line = self.process.stdout.readline()
         if not line:
             raise CannotRunError("the upstreams did not start")
         self.ports: dict[str, int] = json.loads(line)
 
+    def end_server(self, name: str) -> None:
+        self.stdin.write(name + "\n")
+        self.stdin.flush()
+
     def entries(self) -> list[dict[str, Any]]:
         return [json.loads(line) for line in self.record_file.read_text().splitlines()]
 
@@ -265,6 +278,7 @@
 
     def __init__(
         self, folder: Path, discovery: Discovery, settings: dict[str, Any] = SETTINGS, sockets: int = 512,
+        memory_mb: int = 192,
         name: str = "n0",
     ) -> None:  # fmt: skip
         self.port, self.name = free_port(), name
@@ -272,7 +286,7 @@
         self.config = {
             "name": name, "listen": f"127.0.0.1:{self.port}", "discovery": discovery.address,
             "seed": f"8c1f30d27a5b{random.getrandbits(16):04x}",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
+            "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": sockets},
             "known": discovery.whole(), "settings": settings,
         }  # fmt: skip
         self.write_config()
