Connections of the application have a module of their own

Cause: applications.py held the phases and the state of a connection beside accepting, serving and stopping.

Change: Phase, its time limits and ApplicationConnection move to sidecar/application_connection.py; nothing else.

--- /dev/null
+++ b/maddercart/sidecar/application_connection.py
@@ -0,0 +1,60 @@
+"""One connection of the application, and the phases that it goes through."""
+
+import socket
+from enum import Enum, auto
+
+from maddercart.http.server import ServerProtocol
+from maddercart.interface import SECOND
+from maddercart.messages.responses import ClientResponse
+from maddercart.net.loop import Task
+from maddercart.sidecar.decisions import BalancerDriver
+
+
+class Phase(Enum):
+    NEW = auto()  # accepted, nothing received yet
+    PART = auto()  # part of a request has been received
+    BUSY = auto()  # from a whole request to the last byte of its answer
+    IDLE = auto()  # between requests
+    REFUSED = auto()  # the last answer is written; further input is read and discarded
+
+
+# How long a connection may stay in a phase. Clients are on this machine or close by, so a request takes
+# milliseconds to arrive, and a client that is slow on purpose is refused after two seconds. The limit for
+# idle connections is one that is usual among servers.
+PHASE_TIMEOUTS_NS = {
+    Phase.NEW: 2 * SECOND, Phase.PART: 2 * SECOND, Phase.IDLE: 60 * SECOND, Phase.REFUSED: SECOND // 2,
+}  # fmt: skip
+
+# When all connection slots are taken, how long a connection must have been in its phase before it may be
+# evicted. The order is that of eviction, by what the client would lose, least first: one that has sent
+# nothing or was refused loses nothing; one that keeps an idle connection may have to open another.
+EVICTABLE_AFTER_NS = {
+    Phase.REFUSED: SECOND // 10, Phase.NEW: SECOND // 10, Phase.IDLE: 2 * SECOND, Phase.PART: SECOND // 2,
+}  # fmt: skip
+
+
+class ApplicationConnection:
+    """The socket of a client, its protocol state and the query that it waits for."""
+
+    __slots__ = (
+        "driver", "phase", "phase_deadline", "protocol", "query_number", "reply", "sock", "task", "waiting",
+        "waiting_since",
+    )  # fmt: skip
+
+    def __init__(self, sock: socket.socket, max_body: int) -> None:
+        self.sock, self.protocol = sock, ServerProtocol(max_body)
+        self.phase, self.phase_deadline = Phase.BUSY, 0
+        self.task: Task | None = None
+        self.query_number = 0  # of the query that awaits its answer; 0: none
+        self.driver: BalancerDriver | None = None  # holds that query
+        self.reply: ClientResponse | None = None
+        self.waiting = False  # the task waits for the reply and must be woken
+        # The earliest time at which a request can have come that was there when the connection was accepted.
+        self.waiting_since: int | None = None
+
+    def is_silent(self) -> bool:
+        """Whether there is no received data that was not read yet."""
+        try:
+            return not self.sock.recv(1, socket.MSG_PEEK)
+        except OSError:  # nothing has come, or the connection broke
+            return True
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -19,7 +19,7 @@
 
 from maddercart import interface as i
 from maddercart.net.loop import Coroutine, Loop, Wait
-from maddercart.sidecar.applications import EVICTABLE_AFTER_NS, PHASE_TIMEOUTS_NS, Phase
+from maddercart.sidecar.application_connection import EVICTABLE_AFTER_NS, PHASE_TIMEOUTS_NS, Phase
 from maddercart.sidecar.clock import MonotonicClock
 from maddercart.sidecar.endings import OUTCOME_BY_ENDING, Ending, ending_of_status
 from maddercart.sidecar.start_times import StartTimes, reference_stamp_ms
