No attempt begins for a client that has left, whatever of its input lies unread

Cause: the end of a connection is behind all of its input. wait_for_reply stopped reading 64 KiB ahead, and closed_by_peer took any unread byte for a client that is there. An end behind more than the receive buffer has not arrived, so epoll can't report it either.

No attempt, first or further, is written while input lies unread. Requests that have been read are answered before their connection is closed, on SIGTERM too. An error response behind the answer to a HEAD request has its body. RequestReader is a module of its own.

--- a/maddercart/http/server.py
+++ b/maddercart/http/server.py
@@ -45,14 +45,20 @@
     Pipelined requests are returned one at a time: the next one only once the previous one has been answered.
     `max_body_bytes` limits the body of a request. `closing` is true once no further request can follow: the
     client has closed its sending side, or the last response closes the connection. `unfinished` is true if
-    the last call of `next_request` left received data that can be parsed, for a later turn of the loop.
+    the last call of `next_request` left received data that can be parsed, for a later turn of the loop;
+    `events_taken` is the number of events that it parsed. Without `keeps_bodies`, requests have no body.
     """
 
-    def __init__(self, max_body_bytes: int = MAX_BODY_BYTES) -> None:
-        self.max_body_bytes = max_body_bytes
+    def __init__(self, max_body_bytes: int = MAX_BODY_BYTES, keeps_bodies: bool = True) -> None:
+        self.max_body_bytes, self.keeps_bodies = max_body_bytes, keeps_bodies
+        self.restart()
+
+    def restart(self) -> None:
+        """Drops what is not parsed yet and begins anew, as on a connection on which nothing was sent."""
         self.connection = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
         self.request: h11.Request | None = None
-        self.body = bytearray()
+        self.body, self.body_bytes, self.body_length = bytearray(), 0, 0
+        self.events_taken = 0
         self.is_head_request = False  # of the last request, whose response has no body
         self.closing = self.unfinished = False
 
@@ -60,23 +66,39 @@
         """Adds received bytes; empty data means that the application has closed its sending side."""
         self.connection.receive_data(data)
 
+    @property
+    def unparsed(self) -> bytes:
+        """The received bytes that are not parsed yet."""
+        return self.connection.trailing_data[0]
+
     @property
     def unparsed_bytes(self) -> int:
         """The number of received bytes that are not parsed yet."""
-        return len(self.connection.trailing_data[0])
+        return len(self.unparsed)
+
+    @property
+    def bytes_wanted(self) -> int:
+        """How many bytes to receive next: what the body lacks where its length is known, so that little is
+        received of the requests behind it."""
+        return max(0, self.body_length - self.body_bytes) or MAX_HEAD_BYTES
+
+    @property
+    def is_last_request(self) -> bool:
+        """Whether the request that is being answered asks for the connection to be closed."""
+        return self.connection.their_state is h11.MUST_CLOSE
 
     @property
     def request_started(self) -> bool:
         """Whether a request has been received in part."""
         return self.request is not None or bool(self.connection.trailing_data[0])
 
-    def next_request(self) -> Request | None:
+    def next_request(self, max_events: int = MAX_EVENTS_PER_TURN) -> Request | None:
         """Returns a complete request, or None if more data is needed or parsing is `unfinished`.
 
         Raises `RequestError`.
         """
         self.unfinished = False
-        for _ in range(MAX_EVENTS_PER_TURN):
+        for self.events_taken in range(1, max_events + 1):
             if self.closing:
                 return None
             try:
@@ -89,11 +111,14 @@
                 self.check_framing(event)
                 self.request, self.is_head_request = event, event.method == b"HEAD"
             elif isinstance(event, h11.Data):
-                self.body += event.data
-                if len(self.body) > self.max_body_bytes:
+                self.body_bytes += len(event.data)
+                if self.keeps_bodies:
+                    self.body += event.data
+                if self.body_bytes > self.max_body_bytes:
                     raise RequestError(413, "the body is over the limit")
             elif isinstance(event, h11.EndOfMessage):
-                request, body, self.request, self.body = self.request, bytes(self.body), None, bytearray()
+                request, body = self.request, bytes(self.body)
+                self.request, self.body, self.body_bytes, self.body_length = None, bytearray(), 0, 0
                 assert request is not None
                 return Request(request.method, request.target, request.headers.raw_items(), body)
             else:
@@ -107,7 +132,8 @@
         chunked = any(name == b"transfer-encoding" for name, _ in request.headers)
         if lengths and chunked:  # ambiguous framing allows request smuggling
             raise RequestError(400, "Content-Length and Transfer-Encoding together")
-        if lengths and int(lengths[0]) > self.max_body_bytes:
+        self.body_length = int(lengths[0]) if lengths else 0
+        if self.body_length > self.max_body_bytes:
             raise RequestError(413, "the body is over the limit")
         if request.method == b"POST" and not (lengths or chunked):
             raise RequestError(411, "the length is missing")
@@ -128,6 +154,7 @@
         if not self.is_head_request:
             parts += send(h11.Data(data=body)) or []
         parts += send(h11.EndOfMessage()) or []
+        self.is_head_request = False  # an error response to what follows has a body
         if self.connection.our_state is h11.DONE and self.connection.their_state is h11.DONE:
             self.connection.start_next_cycle()
         else:
--- a/maddercart/net/sockets.py
+++ b/maddercart/net/sockets.py
@@ -7,6 +7,7 @@
 import os
 import socket
 from collections.abc import Generator
+from enum import Enum, auto
 
 from maddercart.net.loop import DEADLINE_PASSED, READ, WRITE, Loop, Wait
 from maddercart.net.system_calls import SYSTEM_CALLS, SystemCalls
@@ -106,13 +107,13 @@
     return True
 
 
-def read_available(sock: socket.socket) -> bytes | None:
+def read_available(sock: socket.socket, max_bytes: int = READ_SIZE_BYTES) -> bytes | None:
     """Returns the available data without waiting: empty at the end of the stream, None if there is none yet.
 
     Raises `OSError` if the connection is broken.
     """
     try:
-        return sock.recv(READ_SIZE_BYTES)
+        return sock.recv(max_bytes)
     except BlockingIOError:
         return None
     except OSError as error:
@@ -121,17 +122,28 @@
         raise
 
 
-def closed_by_peer(sock: socket.socket) -> bool:
-    """Whether the peer has closed or reset the connection and all data that it sent before was read."""
+class PeerState(Enum):
+    """What is known of the peer of a connection."""
+
+    OPEN = auto()  # nothing lies unread, so it has neither closed nor reset the connection
+    CLOSED = auto()  # it has closed or reset the connection
+    UNREAD = auto()  # input lies unread, and the end of the connection may be behind it
+
+
+def peer_state(sock: socket.socket) -> PeerState:
+    """The state of the peer, without reading anything. The end of a stream that is longer than the receive
+    buffer doesn't reach this machine before the input is read, and neither poll nor epoll report it."""
     try:
-        return not sock.recv(1, socket.MSG_PEEK)
+        return PeerState.UNREAD if sock.recv(1, socket.MSG_PEEK) else PeerState.CLOSED
     except BlockingIOError:
-        return False
+        return PeerState.OPEN
     except OSError as error:
-        return error.errno not in READ_RETRYABLE_ERRNOS
+        return PeerState.UNREAD if error.errno in READ_RETRYABLE_ERRNOS else PeerState.CLOSED
 
 
-def read(sock: socket.socket, deadline: int | None) -> Generator[Wait, int, bytes | None]:
+def read(
+    sock: socket.socket, deadline: int | None, max_bytes: int = READ_SIZE_BYTES
+) -> Generator[Wait, int, bytes | None]:
     """Waits for data and returns it: empty at the end of the stream, None if the deadline passes.
 
     Without a deadline (None) it waits indefinitely. Raises `OSError` if the connection breaks. Each call
@@ -140,5 +152,5 @@
     while True:
         if (yield Wait(sock.fileno(), READ, deadline)) == DEADLINE_PASSED:
             return None
-        if (data := read_available(sock)) is not None:
+        if (data := read_available(sock, max_bytes)) is not None:
             return data
--- a/maddercart/sidecar/application_connection.py
+++ b/maddercart/sidecar/application_connection.py
@@ -3,6 +3,7 @@
 import socket
 from enum import Enum, auto
 
+from maddercart.http.read_ahead import ReadAhead
 from maddercart.http.server import ServerProtocol
 from maddercart.interface import SECOND
 from maddercart.messages.responses import ClientResponse
@@ -37,12 +38,13 @@
     """The socket of a client, its protocol state and the query that it waits for."""
 
     __slots__ = (
-        "driver", "phase", "phase_deadline", "protocol", "query_number", "reply", "sock", "task", "waiting",
-        "waiting_since",
+        "ahead", "driver", "phase", "phase_deadline", "protocol", "query_number", "reply", "sock", "task",
+        "waiting", "waiting_since",
     )  # fmt: skip
 
     def __init__(self, sock: socket.socket, max_body: int) -> None:
         self.sock, self.protocol = sock, ServerProtocol(max_body)
+        self.ahead = ReadAhead(self.protocol)
         self.phase, self.phase_deadline = Phase.BUSY, 0
         self.task: Task | None = None
         self.query_number = 0  # of the query that awaits its answer; 0: none
--- a/maddercart/sidecar/applications.py
+++ b/maddercart/sidecar/applications.py
@@ -6,27 +6,34 @@
 from collections.abc import Callable, Generator
 
 from maddercart.http.server import MAX_BODY_BYTES, Request, RequestError
-from maddercart.interface import MILLISECOND, SECOND
-from maddercart.messages.responses import ClientResponse, client_error_response
+from maddercart.interface import MILLISECOND
+from maddercart.messages.query import Query
+from maddercart.messages.responses import ClientResponse, bounced_response, client_error_response
 from maddercart.net.loop import (
     DEADLINE_PASSED,
     NEXT_TURN,
-    NO_EVENTS,
     READ,
-    WOKEN,
     Coroutine,
     Loop,
     Task,
     Wait,
 )
-from maddercart.net.sockets import accept, close, closed_by_peer, read, read_available, write
+from maddercart.net.sockets import (
+    PeerState,
+    accept,
+    close,
+    peer_state,
+    read,
+    write,
+)
 from maddercart.sidecar.application_connection import (
     EVICTABLE_AFTER_NS,
     PHASE_TIMEOUTS_NS,
     ApplicationConnection,
     Phase,
 )
-from maddercart.sidecar.request_handlers import RejectedRequest, RequestHandler
+from maddercart.sidecar.request_handlers import AcceptedQuery, RejectedRequest, RequestHandler
+from maddercart.sidecar.request_reader import RequestReader
 
 log = logging.getLogger(__name__)
 
@@ -34,8 +41,6 @@
 class ApplicationServer:
     """Accepts and serves the connections of one listener."""
 
-    WRITE_TIMEOUT_NS = 10 * SECOND  # for an answer: a client that stalls while reading holds a descriptor
-    MAX_READ_AHEAD_BYTES = 65536  # of later requests, read while an answer is pending
     ACCEPT_RETRY_NS = 20 * MILLISECOND  # where connection slots or descriptors have run out
     ACCEPT_BATCH = 32  # connections accepted in a turn: hundreds at once must not delay those being served
 
@@ -51,6 +56,7 @@
         self.stopping = False
         self.answer_deadline: int | None = None  # by which queries are answered while the process stops
         self.accept_task: Task | None = None
+        self.reader = RequestReader(clock, self.enter_phase, counts)
 
     # -- accepting
 
@@ -108,8 +114,9 @@
 
     def is_crowded(self) -> bool:
         """Whether a free slot is worth more than keeping a connection open: more than half of all slots are
-        taken, and idle connections hold a third. A new connection for each query costs CPU, so neither silent
-        connections alone nor many active ones are a reason to close."""
+        taken, and idle connections hold a third. Clients that ask once and keep their connection would hold
+        the slots of others; a new connection for each query costs CPU, so neither silent connections alone
+        nor many active ones are a reason to close."""
         return (
             2 * len(self.connections) > self.max_connections
             and 3 * len(self.phases[Phase.IDLE]) >= self.max_connections
@@ -142,57 +149,48 @@
 
         Raises `OSError` if it breaks.
         """
-        protocol, sock = connection.protocol, connection.sock
-        while not protocol.closing:
-            try:
-                request = yield from self.read_request(connection)
-            except RequestError as error:
-                return (yield from self.refuse(connection, error))
-            if request is None:
-                return
-            self.enter_phase(connection, Phase.BUSY)
+        try:
+            while not connection.protocol.closing and (yield from self.answer_next(connection)):
+                pass
+        except RequestError as error:
+            yield from self.refuse(connection, error)
+
+    def answer_next(self, connection: ApplicationConnection) -> Generator[Wait, int, bool]:
+        """Reads and answers one request; false if the connection is to be closed. Raises `RequestError` and
+        `OSError`."""
+        if not (yield from self.reader.refuse_excess(connection)):
+            return False
+        sent_ahead = connection.ahead.pending
+        request = yield from self.reader.read_request(connection, connection.protocol)
+        if request is None:
+            return False
+        self.enter_phase(connection, Phase.BUSY)
+        reply: ClientResponse | None
+        if sent_ahead and self.stopping:
+            self.counts["refused_ahead"] += 1
+            reply = bounced_response(0)
+        else:
             reply = yield from self.handle(connection, request)
-            if reply is None:
-                return
-            # Clients that ask once and keep their connection would each hold a slot for two seconds: with
-            # all slots taken, or all connections that the clients have, only 60 of 400 queries a second
-            # were answered.
-            out = protocol.serialize_response(
-                reply.status, reply.headers(), reply.body, self.stopping or self.is_crowded()
-            )
-            if not (yield from write(sock, out, self.write_deadline())):
-                return
-            if protocol.unparsed_bytes:
-                # The next request has come already. The connection stays BUSY meanwhile: one that is IDLE may
-                # be closed.
-                yield NEXT_TURN
-            else:
-                self.enter_phase(connection, Phase.IDLE)
-
-    def read_request(self, connection: ApplicationConnection) -> Generator[Wait, int, Request | None]:
-        """The next request; None if the connection is to be closed. Raises `RequestError` and `OSError`."""
-        protocol, sock = connection.protocol, connection.sock
-        while (request := protocol.next_request()) is None:
-            if protocol.unfinished:
-                self.enter_read_phase(connection)
-                yield NEXT_TURN
-                continue
-            if protocol.closing or not (
-                yield from write(sock, protocol.continue_response(), self.write_deadline())
-            ):
-                return None
-            if protocol.request_started:
-                connection.waiting_since = None  # its last byte came after the connection was accepted
-            self.enter_read_phase(connection)
-            data = yield from read(sock, connection.phase_deadline)
-            if data is None:  # it may have come in time, while the loop was busy with others
-                data = read_available(sock)
-            if data is None and not protocol.request_started:
-                return None
-            if data is None:
-                raise RequestError(408, "the request did not come in time")
-            protocol.feed(data)
-        return request
+        return reply is not None and (yield from self.send_reply(connection, reply))
+
+    def send_reply(
+        self, connection: ApplicationConnection, reply: ClientResponse
+    ) -> Generator[Wait, int, bool]:
+        """Writes a final answer; false if the client doesn't read it in time. Raises `OSError`.
+
+        Requests that have been read are answered before the connection is closed. Until then it stays BUSY:
+        one that is IDLE may be closed.
+        """
+        has_more = connection.ahead.pending
+        close = not has_more and (self.stopping or self.is_crowded())
+        out = connection.protocol.serialize_response(reply.status, reply.headers(), reply.body, close)
+        if not (yield from write(connection.sock, out, self.reader.write_deadline())):
+            return False
+        if has_more:
+            yield NEXT_TURN
+        else:
+            self.enter_phase(connection, Phase.IDLE)
+        return True
 
     def refuse(self, connection: ApplicationConnection, error: RequestError) -> Generator[Wait, int, None]:
         """Answers a request that is not acceptable, after which the connection ends."""
@@ -204,17 +202,6 @@
         if (yield from write(connection.sock, out, connection.phase_deadline)):
             yield from self.discard_input(connection)
 
-    def enter_read_phase(self, connection: ApplicationConnection) -> None:
-        """Enters the phase in which the rest of a request, or the next one, is read."""
-        if connection.protocol.request_started:
-            if connection.phase != Phase.PART:
-                self.enter_phase(connection, Phase.PART)
-        elif connection.phase == Phase.BUSY:
-            self.enter_phase(connection, Phase.IDLE)
-
-    def write_deadline(self) -> int:
-        return self.clock() + self.WRITE_TIMEOUT_NS
-
     def discard_input(self, connection: ApplicationConnection) -> Generator[Wait, int, None]:
         """Reads and discards input for a while. Closing with unread input would reset the connection, and the
         client might lose the answer."""
@@ -232,29 +219,49 @@
         if isinstance(opened, RejectedRequest):
             return self.reject(opened.status, opened.reason)
         connection.reply = None
-        waited = self.wait_before_accept(connection)
-        opened.query.remaining = max(MILLISECOND, opened.query.remaining - waited)
+        query, since = opened.query, self.loop.events_since
+        query.remaining = max(MILLISECOND, query.remaining - self.wait_before_accept(connection))
         if self.answer_deadline is not None:
             left = max(MILLISECOND, self.answer_deadline - self.clock())
-            opened.query.remaining = min(opened.query.remaining, left)
+            query.remaining = min(query.remaining, left)
+        try:
+            state = yield from self.reader.read_until_known(connection, since + query.remaining)
+            if state != PeerState.OPEN:
+                return self.decline(query, state)
+            query.remaining = max(MILLISECOND, query.remaining - (self.loop.events_since - since))
+            return (yield from self.ask_driver(connection, opened))
+        finally:
+            self.handler.query_finished(opened)
+
+    def ask_driver(
+        self, connection: ApplicationConnection, opened: AcceptedQuery
+    ) -> Generator[Wait, int, ClientResponse | None]:
+        """The driver's answer to a query; None if the client has gone."""
 
         def on_reply(reply: ClientResponse) -> None:
             connection.reply, connection.query_number = reply, 0
             if connection.waiting and connection.task is not None:
                 self.loop.wake(connection.task)
 
-        try:
-            number = opened.driver.take_query(opened.query, on_reply, lambda: closed_by_peer(connection.sock))
-            if connection.reply is None:
-                connection.query_number, connection.driver, connection.waiting = number, opened.driver, True
-                client_gone = yield from self.wait_for_reply(connection)
-                connection.waiting = False
-                if client_gone:
-                    return None
-        finally:
-            self.handler.query_finished(opened)
+        number = opened.driver.take_query(opened.query, on_reply, lambda: peer_state(connection.sock))
+        if connection.reply is None:
+            connection.query_number, connection.driver, connection.waiting = number, opened.driver, True
+            client_gone = yield from self.reader.wait_for_reply(connection)
+            connection.waiting = False
+            if client_gone:
+                return None
         return connection.reply
 
+    def decline(self, query: Query, state: PeerState) -> ClientResponse | None:
+        """Ends a query that no driver has taken: there is no answer if its client has gone."""
+        if state == PeerState.CLOSED:
+            self.counts["left"] += 1
+            query.on_finished(0, "left")
+            return None
+        self.counts["refused_ahead"] += 1
+        query.on_finished(0, "bounced")
+        return bounced_response(0)
+
     def wait_before_accept(self, connection: ApplicationConnection) -> int:
         """How long the first request of a connection waited, in nanoseconds, before the loop saw it: in the
         backlog of the listener while the process was held up."""
@@ -266,19 +273,6 @@
         log.debug("request rejected", extra={"status": status, "reason": reason})
         return client_error_response(status, reason)
 
-    def wait_for_reply(self, connection: ApplicationConnection) -> Generator[Wait, int, bool]:
-        """Waits until there is a reply; true if the client closed the connection first."""
-        while connection.reply is None:
-            events = READ if connection.protocol.unparsed_bytes < self.MAX_READ_AHEAD_BYTES else NO_EVENTS
-            if (yield Wait(connection.sock.fileno(), events)) == WOKEN:
-                continue
-            data = read_available(connection.sock)
-            if data == b"":
-                return True
-            if data:
-                connection.protocol.feed(data)
-        return False
-
     def phase_counts(self) -> dict[str, int]:
         return {phase.name.lower(): len(members) for phase, members in self.phases.items() if members}
 
--- a/maddercart/sidecar/decisions.py
+++ b/maddercart/sidecar/decisions.py
@@ -12,9 +12,10 @@
 from maddercart.messages.query import Query
 from maddercart.messages.responses import ClientResponse, aborted_response, bounced_response, done_response
 from maddercart.net.loop import RANK_SOON, Coroutine, Loop, Task, Wait
+from maddercart.net.sockets import PeerState
 from maddercart.policy.balancer import Balancer
 from maddercart.sidecar.connection_pool import Address
-from maddercart.sidecar.dispatches import Dispatcher, DispatchResult
+from maddercart.sidecar.dispatches import Dispatcher, DispatchResult, WritePermission
 from maddercart.sidecar.endings import OUTCOME_BY_ENDING, Ending
 from maddercart.sidecar.upstreams import Upstreams
 
@@ -28,7 +29,7 @@
     query: Query
     send_reply: Callable[[ClientResponse], None]
     taken_at: int
-    client_left: Callable[[], bool]
+    client_state: Callable[[], PeerState]
     client_gone: bool = False  # the client was seen to have left; the balancer has not been told yet
     dispatches: int = 0
 
@@ -44,7 +45,7 @@
     task: Task | None = None
     trace: str = ""  # the trace id that the client gave the query
     address: Address | None = None
-    connected: bool = False  # from here on `may_write` in `send_dispatch` decides whether it is still written
+    connected: bool = False  # its connection is up, and it has been decided whether it is written
 
 
 class BalancerDriver:
@@ -73,15 +74,15 @@
 
     def take_query(
         self, query: Query, send_reply: Callable[[ClientResponse], None],
-        client_left: Callable[[], bool] = lambda: False,
+        client_state: Callable[[], PeerState] = lambda: PeerState.OPEN,
     ) -> int:  # fmt: skip
         """Takes a query and returns its number. The query's time counts from when its last byte came, so the
-        balancer is told how far the loop lags behind. `client_left` is asked before each attempt whether the
-        client has closed its connection."""
+        balancer is told how far the loop lags behind. `client_state` is asked before each attempt: none
+        begins for a client that has closed its connection, or while it isn't known whether it has."""
         self.query_count += 1
         self.counts["taken"] += 1
         number, now = self.query_count, self.clock()
-        self.held[number] = HeldQuery(query, send_reply, now, client_left)
+        self.held[number] = HeldQuery(query, send_reply, now, client_state)
         lag = self.loop.max_event_delay()
         self.balancer.take_query(
             now, number, query.offering, query.remaining, lag, max_dispatches=query.max_dispatches
@@ -231,19 +232,30 @@
     ) -> Generator[Wait, int, DispatchResult]:
         out.address = address = self.upstreams.addresses.get(out.upstream)
 
-        def may_write() -> bool:
-            # A connection may come up late: a repeat of a labelled query must not go out after its window.
-            out.connected = True
-            held = self.held.get(out.query_number)
-            if held is not None and held.client_left():
-                # The client may have left while the process was stalled: no attempt is made for it.
-                held.client_gone = True
-            if held is None or held.client_gone:
-                return False
-            return self.balancer.may_write(self.clock(), out.query_number)
+        def may_write() -> WritePermission:
+            permission = self.write_permission(out.query_number)
+            out.connected = permission != WritePermission.UNDECIDED
+            return permission
 
         return (yield from self.dispatcher.send(query, out.upstream, address, deadline, may_write))
 
+    def write_permission(self, number: int) -> WritePermission:
+        """Whether a dispatch of a query whose connection is up may be written.
+
+        The client may have left while the process was stalled or while its input lay unread: no attempt is
+        made for it. A connection may come up late: a repeat of a labelled query must not go out after its
+        window.
+        """
+        if (held := self.held.get(number)) is None:
+            return WritePermission.DENIED
+        state = held.client_state()
+        if state == PeerState.UNREAD:
+            return WritePermission.UNDECIDED
+        held.client_gone = state == PeerState.CLOSED
+        if held.client_gone or not self.balancer.may_write(self.clock(), number):
+            return WritePermission.DENIED
+        return WritePermission.GRANTED
+
     def run_probe(self, sent_at: int, upstream: int) -> Coroutine:
         """Sends a probe and reports its result from a timer, so that the balancer never gets the result of a
         decision inside the pull that made it."""
@@ -253,7 +265,9 @@
                 query = self.make_probe(upstream)
                 address = self.upstreams.addresses.get(upstream)
                 deadline = sent_at + query.remaining
-                result = yield from self.dispatcher.send(query, upstream, address, deadline, lambda: True)
+                result = yield from self.dispatcher.send(
+                    query, upstream, address, deadline, lambda: WritePermission.GRANTED
+                )
         except Exception:
             log.exception("probe raised an exception")
 
--- a/maddercart/sidecar/dispatches.py
+++ b/maddercart/sidecar/dispatches.py
@@ -2,6 +2,7 @@
 
 import logging
 from collections.abc import Callable, Generator
+from enum import Enum, auto
 
 from maddercart.http.client import MalformedResponse, Response
 from maddercart.interface import MILLISECOND
@@ -17,6 +18,14 @@
 DispatchResult = tuple[Ending, UpstreamResponse | None]  # the answer is None unless a whole one came
 
 
+class WritePermission(Enum):
+    """Whether the first byte of a dispatch may be written."""
+
+    GRANTED = auto()
+    DENIED = auto()
+    UNDECIDED = auto()  # to be asked again in the next turn of the loop
+
+
 class Dispatcher:
     # Age of the loop's last poll above which discovery is checked for unread updates before a send. Less is
     # within the delay of the list itself.
@@ -37,11 +46,12 @@
 
     def send(
         self, query: Query, upstream: int, address: Address | None, deadline: int,
-        may_write: Callable[[], bool],
+        may_write: Callable[[], WritePermission],
     ) -> Generator[Wait, int, DispatchResult]:  # fmt: skip
         """Sends the query once and never retries. `may_write` is asked before the first byte whether it may
-        still be written. The connection is closed or idle in the pool before the result is returned, so that
-        nothing is on the wire beside the next attempt."""
+        be written; while that is undecided the dispatch waits, until its deadline at most. The connection is
+        closed or idle in the pool before the result is returned, so that nothing is on the wire beside the
+        next attempt."""
         if address is None:
             return Ending.NO_ADDRESS, None
         connection, keep = self.pool.take_idle(upstream, address), False
@@ -54,11 +64,12 @@
             # A drain may have been announced while the connection came up, which took up to 250 ms: what
             # counts is the first byte written, not the choice of the upstream. In a long turn of the loop,
             # as with a small share of a core, the list may also have changed since the last poll.
-            while self.list_may_be_outdated():
+            permission = WritePermission.UNDECIDED
+            while self.list_may_be_outdated() or (permission := may_write()) == WritePermission.UNDECIDED:
                 if self.clock() >= deadline:
                     return Ending.WITHDRAWN, None
                 yield NEXT_TURN
-            if not (may_write() and self.may_send(upstream, address)):
+            if permission == WritePermission.DENIED or not self.may_send(upstream, address):
                 return Ending.WITHDRAWN, None
             ending = yield from self.write_request(connection, query, deadline)
             if ending is not None:
--- /dev/null
+++ b/maddercart/sidecar/request_reader.py
@@ -0,0 +1,135 @@
+"""Reads the input of an application connection: requests, and what lies behind the one being answered."""
+
+from collections import Counter
+from collections.abc import Callable, Generator
+
+from maddercart.http.server import Request, RequestError, ServerProtocol
+from maddercart.interface import MILLISECOND, SECOND
+from maddercart.net.loop import NEXT_TURN, READ, WOKEN, Wait
+from maddercart.net.sockets import READ_SIZE_BYTES, PeerState, peer_state, read, read_available, write
+from maddercart.sidecar.application_connection import ApplicationConnection, Phase
+
+
+class RequestReader:
+    """Reads for all connections of a listener. Times are in nanoseconds of the loop's clock."""
+
+    WRITE_TIMEOUT_NS = 10 * SECOND  # for an answer: a client that stalls while reading holds a descriptor
+    REFUSAL_MARGIN_NS = 20 * MILLISECOND  # before a query's deadline, for its refusal to arrive in time
+    REFUSALS_PER_TURN = 64  # written for a connection whose client has sent too much ahead
+
+    def __init__(
+        self, clock: Callable[[], int], enter_phase: Callable[[ApplicationConnection, Phase], None],
+        counts: Counter[str],
+    ) -> None:  # fmt: skip
+        self.clock, self.enter_phase, self.counts = clock, enter_phase, counts
+
+    def read_request(
+        self, connection: ApplicationConnection, protocol: ServerProtocol
+    ) -> Generator[Wait, int, Request | None]:
+        """The next request; None if the connection is to be closed. Raises `RequestError` and `OSError`."""
+        sock = connection.sock
+        while (request := protocol.next_request()) is None:
+            if protocol.unfinished:
+                self.enter_read_phase(connection, protocol)
+                yield NEXT_TURN
+                continue
+            if protocol.closing or not (
+                yield from write(sock, protocol.continue_response(), self.write_deadline())
+            ):
+                return None
+            if protocol.request_started:
+                connection.waiting_since = None  # its last byte came after the connection was accepted
+            self.enter_read_phase(connection, protocol)
+            wanted = min(READ_SIZE_BYTES, protocol.bytes_wanted)
+            data = yield from read(sock, connection.phase_deadline, wanted)
+            if data is None:  # it may have come in time, while the loop was busy with others
+                data = read_available(sock, wanted)
+            if data is None and not protocol.request_started:
+                return None
+            if data is None:
+                raise RequestError(408, "the request did not come in time")
+            protocol.feed(data)
+        return request
+
+    def enter_read_phase(self, connection: ApplicationConnection, protocol: ServerProtocol) -> None:
+        """Enters the phase in which the rest of a request, or the next one, is read."""
+        if protocol.request_started:
+            if connection.phase != Phase.PART:
+                self.enter_phase(connection, Phase.PART)
+        elif connection.phase == Phase.BUSY:
+            self.enter_phase(connection, Phase.IDLE)
+
+    def write_deadline(self) -> int:
+        return self.clock() + self.WRITE_TIMEOUT_NS
+
+    def read_until_known(
+        self, connection: ApplicationConnection, deadline: int
+    ) -> Generator[Wait, int, PeerState]:
+        """Reads on while input lies unread, so that a query of a client that has left, or sends without
+        pause, takes no place at an upstream. UNREAD if there is still some shortly before `deadline`."""
+        give_up_at = deadline - self.REFUSAL_MARGIN_NS
+        try:
+            while (state := peer_state(connection.sock)) == PeerState.UNREAD and self.clock() < give_up_at:
+                if connection.ahead.unfinished:
+                    connection.ahead.parse()
+                else:
+                    self.read_on(connection)
+                yield NEXT_TURN
+        except OSError:  # the connection broke
+            return PeerState.CLOSED
+        return state
+
+    def wait_for_reply(self, connection: ApplicationConnection) -> Generator[Wait, int, bool]:
+        """Waits until there is a reply, and reads on; true if the client closed the connection first."""
+        ahead = connection.ahead
+        while connection.reply is None:
+            if ahead.unfinished:
+                yield NEXT_TURN
+                ahead.parse()
+                continue
+            if (yield Wait(connection.sock.fileno(), READ)) == WOKEN:
+                continue
+            if self.read_on(connection) == b"":
+                return True
+        return False
+
+    def read_on(self, connection: ApplicationConnection) -> bytes | None:
+        """Reads what lies behind the request that is being answered; the result is that of
+        `read_available`."""
+        if not (room := connection.ahead.room()):
+            connection.ahead.begin_excess()
+            return None
+        if data := read_available(connection.sock, room):
+            connection.ahead.feed(data)
+        return data
+
+    def refuse_excess(self, connection: ApplicationConnection) -> Generator[Wait, int, bool]:
+        """Refuses what the client has sent beyond the limit, unless requests within it come first; false if
+        the connection is to be closed. Raises `RequestError` and `OSError`."""
+        while (excess := connection.ahead.excess) is not None:
+            if excess.kept:
+                excess.kept -= 1
+                return True
+            if excess.unfinished:
+                yield NEXT_TURN
+                excess.parse()
+            elif number := min(self.REFUSALS_PER_TURN, excess.refused):
+                self.counts["refused_ahead"] += number
+                out = excess.take_refusals(number)
+                if not (yield from write(connection.sock, out, self.write_deadline())):
+                    return False
+                yield NEXT_TURN
+            elif excess.error is not None:
+                raise excess.error
+            elif excess.protocol.closing:
+                yield from write(connection.sock, excess.last_refusal, self.write_deadline())
+                return False
+            elif not excess.protocol.request_started:
+                connection.ahead.end_excess()
+            elif (yield from self.read_request(connection, excess.protocol)) is None:
+                return False
+            else:
+                self.enter_phase(connection, Phase.BUSY)
+                excess.count()
+                excess.parse()
+        return True
