--- a/tests/faults/test_soaks.py
+++ b/tests/faults/test_soaks.py
@@ -1,9 +1,13 @@
 """Short soak tests with fixed seeds; `maddercart soak --count 50` runs longer ones."""
 
+import asyncio
+import time
 from pathlib import Path
 
 import pytest
 
+from maddercart.rig.processes.hold_ups import HoldUpMonitor
+from maddercart.rig.processes.rule_checker import NEVER
 from maddercart.rig.processes.soak import run_soak
 
 
@@ -15,3 +19,21 @@
     assert result.answered > result.requests * 0.8, (
         "a sidecar that rejects all requests would also break no rule"
     )
+
+
+def test_a_hold_up_of_the_soak_itself_is_told_with_what_it_stamped_late() -> None:
+    """Attempts told too long a deadline could not be told from attempts that the soak stamped late."""
+
+    async def hold_up() -> HoldUpMonitor:
+        monitor = HoldUpMonitor()
+        task = asyncio.create_task(monitor.run())
+        await asyncio.sleep(0)
+        time.sleep(0.1)
+        await asyncio.sleep(0.02)
+        task.cancel()
+        return monitor
+
+    hold_up_seen = (monitor := asyncio.run(hold_up())).hold_ups[0]
+    assert hold_up_seen.ended_at - hold_up_seen.began_at >= 0.08
+    assert monitor.describe_within(hold_up_seen.ended_at, NEVER).startswith("the soak itself was held up")
+    assert monitor.describe_within(0, hold_up_seen.began_at - 1) == "the soak was not held up"
