A request read in several parts has its wait counted, and once

Seen: a query of 60 KB that came while the process was held up for 0.4 s went on with 898 ms of 497 left, on a new connection and on one that was kept; a query on a connection that had begun with a readiness check was bounced, as the time between the two was taken off it.

Cause: a request's time counts from the event of its last read, and the parts that lay unread before that were taken to have come since; with heads read in 16 KiB this holds for requests over that size. waiting_since stayed on the connection where the first request needed no upstream.

Change: while a request is incomplete and input lies unread, the time since which it does is noted; it is taken off the request that it belongs to, whatever its answer.

Evidence: three cases fail on the code before and pass now; the cases of one read pass on both.

--- a/maddercart/sidecar/application_connection.py
+++ b/maddercart/sidecar/application_connection.py
@@ -51,7 +51,8 @@
         self.driver: BalancerDriver | None = None  # holds that query
         self.reply: ClientResponse | None = None
         self.waiting = False  # the task waits for the reply and must be woken
-        # The earliest time at which a request can have come that was there when the connection was accepted.
+        # The earliest time at which the whole of a request can have come, where that is before the event with
+        # which its last part is read: it was there when the connection was accepted, or is read in parts.
         self.waiting_since: int | None = None
 
     def is_silent(self) -> bool:
--- a/maddercart/sidecar/applications.py
+++ b/maddercart/sidecar/applications.py
@@ -56,7 +56,7 @@
         self.stopping = False
         self.answer_deadline: int | None = None  # by which queries are answered while the process stops
         self.accept_task: Task | None = None
-        self.reader = RequestReader(clock, self.enter_phase, counts)
+        self.reader = RequestReader(loop, clock, self.enter_phase, counts)
 
     # -- accepting
 
@@ -165,12 +165,13 @@
         if request is None:
             return False
         self.enter_phase(connection, Phase.BUSY)
+        waited = self.wait_before_last_read(connection)
         reply: ClientResponse | None
         if sent_ahead and self.stopping:
             self.counts["refused_ahead"] += 1
             reply = bounced_response(0)
         else:
-            reply = yield from self.handle(connection, request)
+            reply = yield from self.handle(connection, request, waited)
         return reply is not None and (yield from self.send_reply(connection, reply))
 
     def send_reply(
@@ -210,9 +211,10 @@
             pass
 
     def handle(
-        self, connection: ApplicationConnection, request: Request
+        self, connection: ApplicationConnection, request: Request, waited: int
     ) -> Generator[Wait, int, ClientResponse | None]:
-        """The final answer to a request; None if the client has gone."""
+        """The final answer to a request; None if the client has gone. `waited`: nanoseconds before the event
+        with which its last part was read."""
         opened = self.handler.handle(request, connection.sock, self.stopping)
         if isinstance(opened, ClientResponse):
             return opened
@@ -220,7 +222,7 @@
             return self.reject(opened.status, opened.reason)
         connection.reply = None
         query, since = opened.query, self.loop.events_since
-        query.remaining = max(MILLISECOND, query.remaining - self.wait_before_accept(connection))
+        query.remaining = max(MILLISECOND, query.remaining - waited)
         if self.answer_deadline is not None:
             left = max(MILLISECOND, self.answer_deadline - self.clock())
             query.remaining = min(query.remaining, left)
@@ -262,9 +264,9 @@
         query.on_finished(0, "bounced")
         return bounced_response(0)
 
-    def wait_before_accept(self, connection: ApplicationConnection) -> int:
-        """How long the first request of a connection waited, in nanoseconds, before the loop saw it: in the
-        backlog of the listener while the process was held up."""
+    def wait_before_last_read(self, connection: ApplicationConnection) -> int:
+        """How long a request waited, in nanoseconds, before the event with which its last part was read: in
+        the backlog of the listener or in the socket, while the process was held up."""
         since, connection.waiting_since = connection.waiting_since, None
         return 0 if since is None else max(0, self.loop.events_since - since)
 
--- a/maddercart/sidecar/request_reader.py
+++ b/maddercart/sidecar/request_reader.py
@@ -5,7 +5,7 @@
 
 from maddercart.http.server import Request, RequestError, ServerProtocol
 from maddercart.interface import MILLISECOND, SECOND
-from maddercart.net.loop import NEXT_TURN, READ, WOKEN, Wait
+from maddercart.net.loop import NEXT_TURN, READ, WOKEN, Loop, Wait
 from maddercart.net.sockets import READ_SIZE_BYTES, PeerState, peer_state, read, read_available, write
 from maddercart.sidecar.application_connection import ApplicationConnection, Phase
 
@@ -18,10 +18,10 @@
     REFUSALS_PER_TURN = 64  # written for a connection whose client has sent too much ahead
 
     def __init__(
-        self, clock: Callable[[], int], enter_phase: Callable[[ApplicationConnection, Phase], None],
-        counts: Counter[str],
+        self, loop: Loop, clock: Callable[[], int],
+        enter_phase: Callable[[ApplicationConnection, Phase], None], counts: Counter[str],
     ) -> None:  # fmt: skip
-        self.clock, self.enter_phase, self.counts = clock, enter_phase, counts
+        self.loop, self.clock, self.enter_phase, self.counts = loop, clock, enter_phase, counts
 
     def read_request(
         self, connection: ApplicationConnection, protocol: ServerProtocol
@@ -37,8 +37,7 @@
                 yield from write(sock, protocol.continue_response(), self.write_deadline())
             ):
                 return None
-            if protocol.request_started:
-                connection.waiting_since = None  # its last byte came after the connection was accepted
+            self.note_unread_since(connection, protocol)
             self.enter_read_phase(connection, protocol)
             wanted = min(READ_SIZE_BYTES, protocol.bytes_wanted)
             data = yield from read(sock, connection.phase_deadline, wanted)
@@ -51,6 +50,16 @@
             protocol.feed(data)
         return request
 
+    def note_unread_since(self, connection: ApplicationConnection, protocol: ServerProtocol) -> None:
+        """Notes since when input has lain unread behind the part of a request that has been read: the rest,
+        which is read in later turns, may all have come by then."""
+        if not protocol.request_started:
+            return
+        if connection.is_silent():
+            connection.waiting_since = None
+        elif connection.waiting_since is None:
+            connection.waiting_since = self.loop.events_since
+
     def enter_read_phase(self, connection: ApplicationConnection, protocol: ServerProtocol) -> None:
         """Enters the phase in which the rest of a request, or the next one, is read."""
         if protocol.request_started:
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -930,15 +930,20 @@
     assert done.stdout == b"lives"
 
 
-def test_request_that_waited_in_the_backlog_is_sent_with_the_time_that_its_client_has_left() -> None:
+@pytest.mark.parametrize(("accepted", "hold_up"), [(False, 0.4), (True, 0.3)], ids=["new", "kept"])
+@pytest.mark.parametrize("body", ["x", "x" * 60_000], ids=["one read", "several reads"])
+def test_request_that_waited_for_the_process_is_sent_with_the_time_that_its_client_has_left(
+    accepted: bool, hold_up: float, body: str
+) -> None:
     """A soak beside load: an upstream was told 1.463 s of 1.272 s, as nobody counted the time before the
-    connection was accepted."""
+    connection was accepted. Of a request in several reads only the time before the last one counted."""
     with SidecarHarness() as harness:
-        harness.run_for(0.02)
-        client = harness.send_request(expires="900m")
+        client = harness.client()
+        harness.run_for(0.02 if accepted else 0)
+        client.sendall(request("post", expires="900m", body=body))
         began = time.monotonic()
-        time.sleep(0.4)  # the process is held up
-        head = harness.read(upstream := harness.accept())
+        time.sleep(hold_up)  # of the process
+        head = harness.read(upstream := harness.accept(), until=b"\r\n\r\n" + body.encode())
         left_ms = 900 - (time.monotonic() - began) * 1000
         told = next(line for line in head.split(b"\r\n") if line.startswith(b"X-Expires-In: "))
         assert told.endswith(b"u") and int(told[len("X-Expires-In: ") : -1]) / 1000 <= left_ms + 150
@@ -946,6 +951,16 @@
         assert harness.response_status(client) == 200
 
 
+def test_wait_of_a_request_that_needs_no_upstream_does_not_count_for_the_next_one() -> None:
+    """A query on a connection that had begun with a readiness check lost the time between the two."""
+    with SidecarHarness() as harness:
+        (client := harness.client()).sendall(b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+        assert harness.response_status(client) == 200
+        harness.run_for(0.4)
+        client.sendall(request(expires="300m"))
+        harness.read(harness.accept())
+
+
 def test_unread_log_lines_do_not_block_the_process() -> None:
     """Writing to a full pipe would block the only thread that serves."""
     code = (
