The soak judges an attempt by the try that it belongs to

By the instants that the violation names, the attempt came 17 ms before the request that it was judged by was sent, and the soak was not held up.

Cause: the client sends a request again, with the same trace id and a new time, where a used connection ended; here the sidecar was killed some 15 ms after the attempt (its log: serving again 0.25 s later). RuleChecker compared all attempts with the last try.

Change: a try knows the one before it, and an attempt is judged by the last one sent before it began. The check and its bound are unchanged; attempts of an earlier try are now judged by the time of that try.

--- a/maddercart/rig/processes/clients.py
+++ b/maddercart/rig/processes/clients.py
@@ -28,6 +28,13 @@
     responded_at: float = 0.0
     disconnected_at: float = 0.0  # when the client closed the connection without waiting for a response
     loss_reason: str = ""  # why the request counts as lost; empty if it does not
+    earlier_try: "ClientRequest | None" = None  # with the same trace id, on a connection that ended
+
+    def try_at(self, instant: float) -> "ClientRequest":
+        """The try to which an attempt that began at `instant` belongs: the last one sent before."""
+        if self.earlier_try is not None and instant < self.sent_at:
+            return self.earlier_try.try_at(instant)
+        return self
 
 
 class Client:
@@ -49,11 +56,15 @@
         offering = self.rng.choice(list(OFFERINGS))
         trace_id = f"{self.rng.getrandbits(64):016x}"
         # A second try follows where the sidecar may have closed a reused connection as the request was sent.
+        earlier_try: ClientRequest | None = None
         for _ in range(2):
             if not await self.connect():
                 return
             timeout_seconds = self.rng.uniform(0.2, HARD_STOP_SECONDS)
-            request = ClientRequest(trace_id, offering, self.sidecar.name, time.monotonic(), timeout_seconds)
+            request = ClientRequest(
+                trace_id, offering, self.sidecar.name, time.monotonic(), timeout_seconds,
+                earlier_try=earlier_try,
+            )  # fmt: skip
             reused_connection = self.connection_used
             if await self.exchange(request):
                 self.requests.append(request)
@@ -65,6 +76,7 @@
                 )
                 self.requests.append(request)
                 return
+            earlier_try = request
 
     def listener_may_be_closed(self) -> bool:
         """Whether the 0.4 s after SIGTERM have passed in which the sidecar still accepts connections."""
--- a/maddercart/rig/processes/rule_checker.py
+++ b/maddercart/rig/processes/rule_checker.py
@@ -77,8 +77,9 @@
         requests = {request.trace_id: request for request in self.group.requests}
         violations = []
         for attempt in self.group.attempts:
-            if (request := requests.get(attempt.trace_id)) is None:
+            if (last_try := requests.get(attempt.trace_id)) is None:
                 continue
+            request = last_try.try_at(attempt.first_byte_at)
             if (
                 request.disconnected_at
                 and attempt.first_byte_at > request.disconnected_at + DISCONNECT_NOTICE_SECONDS
--- a/tests/faults/test_soaks.py
+++ b/tests/faults/test_soaks.py
@@ -3,11 +3,16 @@
 import asyncio
 import time
 from pathlib import Path
+from types import SimpleNamespace
+from typing import Any
 
 import pytest
 
+from maddercart.rig.processes.clients import ClientRequest
+from maddercart.rig.processes.fake_upstreams import Attempt
+from maddercart.rig.processes.fault_schedule import SoakRecord
 from maddercart.rig.processes.hold_ups import HoldUpMonitor
-from maddercart.rig.processes.rule_checker import NEVER
+from maddercart.rig.processes.rule_checker import NEVER, RuleChecker
 from maddercart.rig.processes.soak import run_soak
 
 
@@ -37,3 +42,17 @@
     assert seen.ended_at - seen.began_at >= 0.08
     assert "was held up" in monitor.describe_within(seen.ended_at, NEVER)
     assert "was not held up" in monitor.describe_within(0, seen.began_at - 1)
+
+
+def test_an_attempt_is_judged_by_the_try_that_it_belongs_to() -> None:
+    """Seed 2: told 1.272 s of the 0.419 s of a later try, sent 17 ms after the attempt had begun."""
+    first = ClientRequest("t", "look", "n0", sent_at=9.0, timeout_seconds=1.3)
+    last = ClientRequest("t", "look", "n0", sent_at=9.1, timeout_seconds=0.4, earlier_try=first)
+
+    def is_broken(began_at: float, told: float) -> bool:
+        attempts = [Attempt("t", "s-0", "n0", began_at, told)]
+        group: Any = SimpleNamespace(requests=[last], attempts=attempts, monitor=HoldUpMonitor())
+        return bool(RuleChecker(group, SoakRecord()).ill_timed_attempts())
+
+    assert not is_broken(9.05, told=1.25) and is_broken(9.05, told=1.45)
+    assert not is_broken(9.15, told=0.4) and is_broken(9.15, told=0.6)
