--- a/tests/faults/test_clients_that_send_ahead.py
+++ b/tests/faults/test_clients_that_send_ahead.py
@@ -4,6 +4,7 @@
 import select
 import socket
 import struct
+from collections import Counter
 from collections.abc import Callable, Iterator
 from pathlib import Path
 from typing import Any, NamedTuple
@@ -12,9 +13,15 @@
 
 from maddercart.http.read_ahead import EXCESS_READ_BYTES
 from maddercart.http.server import MAX_HEAD_BYTES, ServerProtocol
-from maddercart.net.loop import Loop
-from maddercart.sidecar import applications
+from maddercart.interface import MILLISECOND, SECOND
+from maddercart.net.loop import NEXT_TURN, Loop
+from maddercart.net.sockets import PeerState
+from maddercart.sidecar import applications, request_reader
+from maddercart.sidecar.application_connection import ApplicationConnection
+from maddercart.sidecar.applications import ApplicationServer
+from maddercart.sidecar.decisions import BalancerDriver
 from maddercart.sidecar.dispatches import Dispatcher
+from maddercart.sidecar.request_reader import RequestReader
 from tests.gateway.harness import LISTENER, SERVER, GatewayHarness
 from tests.gateway.test_gateway import pool, route
 from tests.helpers import SidecarHarness, http_response, request
@@ -54,6 +61,7 @@
 ) -> None:
     """Review case 6: any unread byte passed for a client that is there, and input was read no further."""
     attempts = TurnCounts(monkeypatch, host.loop, Dispatcher, "write_request")
+    taken = TurnCounts(monkeypatch, host.loop, BalancerDriver, "take_query")
     closed = TurnCounts(monkeypatch, host.loop, applications, "close")
     with socket.create_connection(host.address) as client:
         client.sendall(request())
@@ -67,6 +75,7 @@
         client.shutdown(socket.SHUT_WR) if how == "end of stream" else client.close()
         host.run_until(lambda: sum(closed.by_turn))
         assert sum(attempts.by_turn) == attempt
+        assert sum(taken.by_turn) == attempt, "no query counts as load of the upstreams either"
 
 
 @pytest.mark.parametrize(
@@ -98,6 +107,35 @@
             assert harness.response_status(client) == 200, "and the connection is of use again"
 
 
+def test_query_of_a_client_that_sends_without_pause_is_refused_before_its_deadline(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """While its input is unread no attempt may begin, and its final answer was owed all the same."""
+    monkeypatch.setattr(request_reader, "peer_state", lambda _: PeerState.UNREAD)
+    instants = [*range(0, SECOND - RequestReader.REFUSAL_MARGIN_NS, 10 * MILLISECOND)]
+    clock = iter([*instants, SECOND - RequestReader.REFUSAL_MARGIN_NS]).__next__
+    with socket.socketpair()[0] as sock:
+        sock.setblocking(False)
+        reader = RequestReader(Loop(lambda: 0), clock, lambda *_: None, Counter())
+        reading = reader.read_until_known(ApplicationConnection(sock, 0), deadline=SECOND)
+        for _ in instants:
+            assert next(reading) == NEXT_TURN
+        with pytest.raises(StopIteration) as refused:
+            next(reading)
+        assert refused.value.value == PeerState.UNREAD
+
+
+def test_requests_sent_ahead_are_answered_where_connections_are_crowded(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The first answer closed the connection to free its slot, and requests that were read were lost."""
+    monkeypatch.setattr(ApplicationServer, "is_crowded", lambda _: True)
+    with SidecarHarness() as harness:
+        (client := harness.client()).sendall(READY * 3)
+        received = answers(harness, client, 3)
+        assert received.count(b"200 OK") == 3 and received.count(b"Connection: close") == 1
+
+
 def test_requests_sent_ahead_are_answered_during_shutdown() -> None:
     """The first answer after SIGTERM ended the connection, and requests that were read were lost."""
     with SidecarHarness() as harness:
