Whether a client's connection is silent is read off its peer's state

Need: ApplicationConnection.is_silent stood beside peer_state with the same look at the next byte.

Change: is_silent asks peer_state. The one difference: a read that fails for want of memory may have input before it, so such a connection isn't taken for silent and closed.

--- a/maddercart/sidecar/application_connection.py
+++ b/maddercart/sidecar/application_connection.py
@@ -8,6 +8,7 @@
 from maddercart.interface import SECOND
 from maddercart.messages.responses import ClientResponse
 from maddercart.net.loop import Task
+from maddercart.net.sockets import PeerState, peer_state
 from maddercart.sidecar.decisions import BalancerDriver
 
 
@@ -57,7 +58,4 @@
 
     def is_silent(self) -> bool:
         """Whether there is no received data that was not read yet."""
-        try:
-            return not self.sock.recv(1, socket.MSG_PEEK)
-        except OSError:  # nothing has come, or the connection broke
-            return True
+        return peer_state(self.sock) != PeerState.UNREAD
