--- a/maddercart/rig/plays.py
+++ b/maddercart/rig/plays.py
@@ -12,16 +12,11 @@
 from maddercart.interface import MILLISECOND, SECOND
 from maddercart.messages.config import Config
 from maddercart.net.loop import Loop
-from maddercart.rig.fakes import (
-    ClientQuery,
-    FakeClients,
-    FakeDiscovery,
-    FakeUpstream,
-    FakeUpstreams,
-    ListVersion,
-)
 from maddercart.rig.rule_checks import Observations, RuleSettings, SidecarLifetime, check_rules
+from maddercart.rig.simulated_clients import ClientQuery, FakeClients
+from maddercart.rig.simulated_discovery import FakeDiscovery, ListVersion
 from maddercart.rig.simulated_network import ONE_WAY_DELAY_NS, Address, SimulatedNetwork
+from maddercart.rig.simulated_upstreams import FakeUpstream, FakeUpstreams
 from maddercart.sidecar.configuration import parse_configuration
 from maddercart.sidecar.node import SidecarNode
 
--- a/maddercart/rig/rule_checks.py
+++ b/maddercart/rig/rule_checks.py
@@ -7,7 +7,9 @@
 from dataclasses import dataclass, field
 
 from maddercart.interface import MILLISECOND, SECOND
-from maddercart.rig.fakes import ClientQuery, FakeDiscovery, ListVersion, SentDispatch
+from maddercart.rig.simulated_clients import ClientQuery
+from maddercart.rig.simulated_discovery import FakeDiscovery, ListVersion
+from maddercart.rig.simulated_upstreams import SentDispatch
 
 TIMING_TOLERANCE_NS = 50 * MILLISECOND  # allowance for socket input and output
 # Within these times of a watch's falling silent, or of a move to another discovery service, the sidecar must
