Soaks of two processes listen on loopback hosts of their own

Cause: all servers listened on 127.0.0.1. A sidecar's port is free until it starts and while it is down, so another soak's upstream can get it, and with it the readiness checks and requests of this soak's clients. Attempts are told apart by the name of the sidecar, which is the same in all soaks.

Change: rig/processes/loopback.py has the addresses; each process has a host of 127.64.0.0/10, by its id. It also holds what the two fake services had twice, starting a server. Checks and bounds are unchanged.

--- a/maddercart/rig/processes/fake_discovery.py
+++ b/maddercart/rig/processes/fake_discovery.py
@@ -8,6 +8,8 @@
 from enum import Enum, auto
 from typing import Any
 
+from maddercart.rig.processes.loopback import start_server
+
 KEEPALIVE_INTERVAL_SECONDS = 2.0  # between the empty lines that a watch sends
 
 JsonObject = dict[str, Any]
@@ -76,8 +78,8 @@
 
     async def start(self) -> str:
         """Starts to listen and returns the address as `host:port`."""
-        self.server = await asyncio.start_server(self.handle_connection, "127.0.0.1", 0)
-        return f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
+        self.server, address = await start_server(self.handle_connection)
+        return address
 
     def begin_fault(self, fault: DiscoveryFault) -> None:
         """Makes all calls fail from now on and resets the open watches."""
--- a/maddercart/rig/processes/fake_upstreams.py
+++ b/maddercart/rig/processes/fake_upstreams.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass
 from random import Random
 
+from maddercart.rig.processes.loopback import start_server
+
 HANG_SECONDS = 30.0
 
 
@@ -31,8 +33,8 @@
 
     async def start(self) -> str:
         """Starts to listen and returns the address as `host:port`."""
-        self.server = await asyncio.start_server(self.handle_connection, "127.0.0.1", 0)
-        return f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
+        self.server, address = await start_server(self.handle_connection)
+        return address
 
     def entry(self, dial: str, health: str, born_ms: float = 0) -> dict[str, object]:
         """The entry of this upstream in the discovery list; it started at `born_ms` (Unix time in ms)."""
--- a/maddercart/rig/processes/peer_relay.py
+++ b/maddercart/rig/processes/peer_relay.py
@@ -7,7 +7,7 @@
 import asyncio
 from typing import Any
 
-Address = tuple[str, int]  # host, port
+from maddercart.rig.processes.loopback import ANY_PORT, Address, soak_host
 
 
 class PeerRelay:
@@ -23,7 +23,7 @@
         for target in [*range(len(self.sidecar_addresses)), None]:
             transport, _ = await loop.create_datagram_endpoint(
                 lambda target=target: RelayProtocol(self, target),  # type: ignore[misc]
-                local_addr=("127.0.0.1", 0),
+                local_addr=(soak_host(), ANY_PORT),
             )
             self.transports.append(transport)
         *peer_addresses, group_address = [
--- a/maddercart/rig/processes/sidecar_group.py
+++ b/maddercart/rig/processes/sidecar_group.py
@@ -10,8 +10,9 @@
 from maddercart.rig.processes.fake_discovery import FakeDiscoveryService, UpstreamRegistry
 from maddercart.rig.processes.fake_upstreams import Attempt, FakeUpstream
 from maddercart.rig.processes.hold_ups import HoldUpMonitor
+from maddercart.rig.processes.loopback import format_address
 from maddercart.rig.processes.peer_relay import PeerRelay
-from maddercart.rig.processes.sidecar_process import SidecarProcess, format_address
+from maddercart.rig.processes.sidecar_process import SidecarProcess
 
 
 class SidecarGroup:
--- a/maddercart/rig/processes/sidecar_process.py
+++ b/maddercart/rig/processes/sidecar_process.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from maddercart.rig.processes.faulty import FAULTS_VARIABLE, WALL_CLOCK_VARIABLE
+from maddercart.rig.processes.loopback import find_free_address, format_address
 
 # The settings `ask_within`, `stop_sending_within` and `hard_stop`, in seconds.
 ASK_WITHIN_SECONDS, STOP_SENDING_WITHIN_SECONDS, HARD_STOP_SECONDS = 10.0, 1.0, 1.5
@@ -18,18 +19,6 @@
 OFFERINGS = {"look": "free", "post": "guarded", "once": "single_shot"}
 
 
-def find_free_address(socket_kind: socket.SocketKind = socket.SOCK_STREAM) -> tuple[str, int]:
-    """A loopback address with a port that is free now, but is not reserved."""
-    with socket.socket(socket.AF_INET, socket_kind) as sock:
-        sock.bind(("127.0.0.1", 0))
-        address: tuple[str, int] = sock.getsockname()
-        return address
-
-
-def format_address(address: tuple[str, int]) -> str:
-    return f"{address[0]}:{address[1]}"
-
-
 def build_settings(index: int, sidecar_count: int) -> dict[str, Any]:
     """The deployment settings of the sidecar `index` in a group of `sidecar_count`."""
     terms: dict[str, Any] = {
--- a/tests/faults/test_soaks.py
+++ b/tests/faults/test_soaks.py
@@ -2,16 +2,19 @@
 
 import asyncio
 import time
+from ipaddress import IPv4Address
 from pathlib import Path
+from random import Random
 from types import SimpleNamespace
 from typing import Any
 
 import pytest
 
 from maddercart.rig.processes.clients import ClientRequest
-from maddercart.rig.processes.fake_upstreams import Attempt
+from maddercart.rig.processes.fake_upstreams import Attempt, FakeUpstream
 from maddercart.rig.processes.fault_schedule import SoakRecord
 from maddercart.rig.processes.hold_ups import HoldUpMonitor
+from maddercart.rig.processes.loopback import find_free_address, soak_host
 from maddercart.rig.processes.rule_checker import NEVER, RuleChecker
 from maddercart.rig.processes.soak import run_soak
 
@@ -44,6 +47,16 @@
     assert "was not held up" in monitor.describe_within(0, seen.began_at - 1)
 
 
+def test_soaks_of_two_processes_share_no_address() -> None:
+    """Beside another soak the sidecars' ports went to its upstreams, and requests with them."""
+    upstream, hosts = (
+        FakeUpstream("s-0", [], Random(1)),
+        {soak_host(), soak_host(1), soak_host((1 << 22) - 1)},
+    )
+    assert find_free_address()[0] == asyncio.run(upstream.start()).split(":")[0] == soak_host()
+    assert len(hosts) == 3 and all(IPv4Address(host).is_loopback for host in hosts)
+
+
 def test_an_attempt_is_judged_by_the_try_that_it_belongs_to() -> None:
     """Seed 2: told 1.272 s of the 0.419 s of a later try, sent 17 ms after the attempt had begun."""
     first = ClientRequest("t", "look", "n0", sent_at=9.0, timeout_seconds=1.3)
