Soaks stamp attempts when their data came, also while the soak itself is held up

Cause: an attempt was stamped when the soak read it, so that a hold-up of the soak looked like a deadline told too long.

Change: the age of the connection's last data (tcpi_last_data_recv), which the system keeps, is taken off the stamp. An attempt is written at once, so its last data and its first are the same to the millisecond.

--- a/maddercart/rig/processes/fake_upstreams.py
+++ b/maddercart/rig/processes/fake_upstreams.py
@@ -1,6 +1,8 @@
 """Fake upstreams, which record when the first byte of each attempt arrived and whether it ran."""
 
 import asyncio
+import socket
+import struct
 import time
 from contextlib import suppress
 from dataclasses import dataclass
@@ -9,6 +11,7 @@
 from maddercart.rig.processes.loopback import start_server
 
 HANG_SECONDS = 30.0
+LAST_DATA_AGE_OFFSET, TCP_INFO_BYTES = 52, 56  # of struct tcp_info
 
 
 @dataclass
@@ -18,11 +21,21 @@
     trace_id: str
     host: str
     sidecar: str  # its name, as the client wrote it into the header X-Sidecar
-    first_byte_at: float  # monotonic seconds
+    first_byte_at: float  # monotonic seconds, when it had arrived at this machine
     expires_in: float  # seconds, from the header X-Expires-In
     ran: bool = False  # the request arrived completely
 
 
+def seconds_since_last_data(writer: asyncio.StreamWriter) -> float:
+    """The age of a connection's last data (tcpi_last_data_recv of tcp(7)), whether or not this process ran.
+
+    Own code, as the judge shares none with the sidecar.
+    """
+    info = writer.get_extra_info("socket").getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
+    (age_ms,) = struct.unpack_from("=I", info, LAST_DATA_AGE_OFFSET)
+    return float(age_ms) / 1000
+
+
 class FakeUpstream:
     """An upstream that answers each request after 2 to 40 ms; `attempts` is shared by all upstreams."""
 
@@ -44,7 +57,7 @@
     async def handle_connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         with suppress(ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             while first_byte := await reader.read(1):
-                first_byte_at = time.monotonic()
+                first_byte_at = time.monotonic() - seconds_since_last_data(writer)
                 attempt = await self.read_request(reader, first_byte, first_byte_at)
                 attempt.ran = True
                 if self.hangs:
--- a/tests/faults/test_soaks.py
+++ b/tests/faults/test_soaks.py
@@ -1,6 +1,7 @@
 """Short soak tests with fixed seeds; `maddercart soak --count 50` runs longer ones."""
 
 import asyncio
+import socket
 import time
 from ipaddress import IPv4Address
 from pathlib import Path
@@ -47,6 +48,23 @@
     assert "was not held up" in monitor.describe_within(0, seen.began_at - 1)
 
 
+def test_attempts_are_stamped_when_they_arrive_while_the_soak_is_held_up() -> None:
+    """Seed 2: told 0.420 s of 0.028, as the soak read the attempt 0.319 s after it had come."""
+    attempts: list[Attempt] = []
+
+    async def lateness_of_stamp() -> float:
+        host, port = (await FakeUpstream("s-0", attempts, Random(1)).start()).split(":")
+        with socket.create_connection((host, int(port))) as sidecar:
+            sidecar.sendall(b"GET / HTTP/1.1\r\nX-Trace-Id: t\r\nX-Expires-In: 900000u\r\n\r\n")
+            sent_at = time.monotonic()
+            time.sleep(0.3)
+            while not attempts:
+                await asyncio.sleep(0.001)
+        return attempts[0].first_byte_at - sent_at
+
+    assert asyncio.run(lateness_of_stamp()) < 0.05
+
+
 def test_soaks_of_two_processes_share_no_address() -> None:
     """Beside another soak the sidecars' ports went to its upstreams, and requests with them."""
     upstream, hosts = (
