--- a/maddercart/rig/processes/rule_checker.py
+++ b/maddercart/rig/processes/rule_checker.py
@@ -88,11 +88,11 @@
                 violations.append(f"lost: {request.trace_id} was begun {late:.3f} s after its client left")
             left = request.sent_at + request.timeout_seconds - attempt.first_byte_at
             if attempt.expires_in > left + DEADLINE_TOLERANCE_SECONDS:
-                held_up = self.group.monitor.describe_within(request.sent_at, attempt.first_byte_at)
+                stalls = self.group.stall_monitor.describe_within(request.sent_at, attempt.first_byte_at)
                 violations.append(
                     f"deadline: {request.trace_id} was told {attempt.expires_in:.3f} s of {left:.3f}, at "
                     f"{attempt.first_byte_at:.3f}, sent {request.sent_at:.3f} with "
-                    f"{request.timeout_seconds:.3f} s; {held_up}"
+                    f"{request.timeout_seconds:.3f} s; {stalls}"
                 )
         return violations
 
--- a/maddercart/rig/processes/sidecar_group.py
+++ b/maddercart/rig/processes/sidecar_group.py
@@ -9,10 +9,10 @@
 from maddercart.rig.processes.clients import Client, ClientRequest
 from maddercart.rig.processes.fake_discovery import FakeDiscoveryService, UpstreamRegistry
 from maddercart.rig.processes.fake_upstreams import Attempt, FakeUpstream
-from maddercart.rig.processes.hold_ups import HoldUpMonitor
 from maddercart.rig.processes.loopback import format_address
 from maddercart.rig.processes.peer_relay import PeerRelay
 from maddercart.rig.processes.sidecar_process import SidecarProcess
+from maddercart.rig.processes.stalls import StallMonitor
 
 
 class SidecarGroup:
@@ -34,11 +34,11 @@
         self.services: dict[str, FakeDiscoveryService] = {}  # by sidecar name: the configured one
         self.former_services: dict[str, list[FakeDiscoveryService]] = {}  # by sidecar name
         self.clients: list[asyncio.Task[None]] = []
-        self.monitor = HoldUpMonitor()
-        self.monitor_task: asyncio.Task[None] | None = None
+        self.stall_monitor = StallMonitor()
+        self.monitor_tasks: list[asyncio.Task[None]] = []
 
     async def __aenter__(self) -> "SidecarGroup":
-        self.monitor_task = asyncio.create_task(self.monitor.run())
+        self.monitor_tasks.append(asyncio.create_task(self.stall_monitor.run()))
         self.dial_addresses = {upstream.host: await upstream.start() for upstream in self.upstreams}
         self.registry = UpstreamRegistry([self.entry(upstream, "SERVING") for upstream in self.upstreams])
         relay = PeerRelay([sidecar.peer_address for sidecar in self.sidecars])
@@ -55,7 +55,7 @@
         return self
 
     async def __aexit__(self, *_: object) -> None:
-        for task in [*self.clients, *([self.monitor_task] if self.monitor_task is not None else [])]:
+        for task in [*self.clients, *self.monitor_tasks]:
             task.cancel()
         for sidecar in self.sidecars:
             if sidecar.process is not None and sidecar.is_running():
--- a/tests/faults/test_soaks.py
+++ b/tests/faults/test_soaks.py
@@ -14,10 +14,10 @@
 from maddercart.rig.processes.clients import ClientRequest
 from maddercart.rig.processes.fake_upstreams import Attempt, FakeUpstream
 from maddercart.rig.processes.fault_schedule import SoakRecord
-from maddercart.rig.processes.hold_ups import HoldUpMonitor
 from maddercart.rig.processes.loopback import find_free_address, soak_host
 from maddercart.rig.processes.rule_checker import NEVER, RuleChecker
 from maddercart.rig.processes.soak import run_soak
+from maddercart.rig.processes.stalls import StallMonitor
 
 
 @pytest.mark.parametrize("seed", [1, 2, 10, 14])
@@ -30,25 +30,25 @@
     )
 
 
-def test_a_hold_up_of_the_soak_itself_is_told_with_what_it_stamped_late() -> None:
+def test_a_stall_of_the_soak_itself_is_told_with_what_it_stamped_late() -> None:
     """Attempts told too long a deadline could not be told from attempts that the soak stamped late."""
-    monitor = HoldUpMonitor()
+    monitor = StallMonitor()
 
-    async def hold_up() -> None:
+    async def stall() -> None:
         task = asyncio.create_task(monitor.run())
         await asyncio.sleep(0)
         time.sleep(0.1)
         await asyncio.sleep(0.02)
         task.cancel()
 
-    asyncio.run(hold_up())
-    seen = monitor.hold_ups[0]
+    asyncio.run(stall())
+    seen = monitor.stalls[0]
     assert seen.ended_at - seen.began_at >= 0.08
-    assert "was held up" in monitor.describe_within(seen.ended_at, NEVER)
-    assert "was not held up" in monitor.describe_within(0, seen.began_at - 1)
+    assert "itself stalled" in monitor.describe_within(seen.ended_at, NEVER)
+    assert "did not stall" in monitor.describe_within(0, seen.began_at - 1)
 
 
-def test_attempts_are_stamped_when_they_arrive_while_the_soak_is_held_up() -> None:
+def test_attempts_are_stamped_when_they_arrive_while_the_soak_stalls() -> None:
     """Seed 2: told 0.420 s of 0.028, as the soak read the attempt 0.319 s after it had come."""
     attempts: list[Attempt] = []
 
@@ -82,7 +82,7 @@
 
     def is_broken(began_at: float, told: float) -> bool:
         attempts = [Attempt("t", "s-0", "n0", began_at, told)]
-        group: Any = SimpleNamespace(requests=[last], attempts=attempts, monitor=HoldUpMonitor())
+        group: Any = SimpleNamespace(requests=[last], attempts=attempts, stall_monitor=StallMonitor())
         return bool(RuleChecker(group, SoakRecord()).ill_timed_attempts())
 
     assert not is_broken(9.05, told=1.25) and is_broken(9.05, told=1.45)
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -930,21 +930,23 @@
     assert done.stdout == b"lives"
 
 
-@pytest.mark.parametrize(("held_up", "hold_up"), [("new", 0.4), ("kept", 0.3), ("while the loop waits", 0.4)])
+@pytest.mark.parametrize(
+    ("stalled", "stall_seconds"), [("new", 0.4), ("kept", 0.3), ("while the loop waits", 0.4)]
+)
 @pytest.mark.parametrize("body", ["x", "x" * 60_000], ids=["one read", "several reads"])
 def test_request_that_waited_for_the_process_is_sent_with_the_time_that_its_client_has_left(
-    held_up: str, hold_up: float, body: str
+    stalled: str, stall_seconds: float, body: str
 ) -> None:
     """A soak beside load: an upstream was told 1.463 s of 1.272 s, as nobody counted the time before the
     connection was accepted. Of a request in several reads only the time before the last one counted, and of a
     stop of the process while the loop waits nothing (soak seed 1 may have been one)."""
     with SidecarHarness() as harness:
         client, loop = harness.client(), harness.node.loop
-        harness.run_for(0.02 if held_up != "new" else 0)
+        harness.run_for(0.02 if stalled != "new" else 0)
         client.sendall(request("post", expires="900m", body=body))
         began = time.monotonic()
-        time.sleep(hold_up)  # of the process
-        if held_up == "while the loop waits":
+        time.sleep(stall_seconds)
+        if stalled == "while the loop waits":
             loop.polled_at = loop.clock()  # so the next poll takes what has come for new
         head = harness.read(upstream := harness.accept(), until=b"\r\n\r\n" + body.encode())
         left_ms = 900 - (time.monotonic() - began) * 1000
