--- a/maddercart/rig/processes/fake_upstreams.py
+++ b/maddercart/rig/processes/fake_upstreams.py
@@ -43,6 +43,7 @@
         self.host, self.attempts, self.rng = host, attempts, rng
         self.hangs = False  # requests wait for `HANG_SECONDS` before their response
         self.reset_share = 0.0  # share of the requests after which the connection is reset
+        self.answer_bytes = 0  # the length to which the body of each answer is filled up
 
     async def start(self) -> str:
         """Starts to listen and returns the address as `host:port`."""
@@ -66,7 +67,7 @@
                     writer.transport.abort()
                     return
                 await asyncio.sleep(self.rng.uniform(0.002, 0.04))
-                body = attempt.trace_id.encode()
+                body = attempt.trace_id.encode().ljust(self.answer_bytes)
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
         writer.close()
 
--- /dev/null
+++ b/maddercart/rig/processes/memory_run.py
@@ -0,0 +1,104 @@
+"""A sidecar process with little memory under clients that make it hold much, beside usual clients."""
+
+import asyncio
+import tempfile
+from contextlib import suppress
+from dataclasses import dataclass
+from pathlib import Path
+
+from maddercart.rig.processes.memory_clients import Shape, run_clients
+from maddercart.rig.processes.sidecar_group import SidecarGroup
+
+POLL_SECONDS = 0.02  # between two looks at the process's memory
+LARGE_ANSWER_BYTES = 60_000
+USUAL_CLIENTS, USUAL_PAUSE_SECONDS = 20, 0.2
+DESCRIPTOR_SHARE = 3  # clients hold at most a third of the descriptors
+QUIET_SECONDS = 1.0  # before the other clients come, and after they have left
+BYTES_PER_MB = 1 << 20
+
+
+@dataclass(frozen=True)
+class MemoryRunSettings:
+    """`memory_mb` and `descriptors` are the limits in the sidecar's configuration."""
+
+    shapes: tuple[Shape, ...]
+    memory_mb: int
+    descriptors: int
+    duration_seconds: float
+    seed: int = 1
+
+
+@dataclass(frozen=True)
+class MemoryRunResult:
+    idle_mb: float  # of the process's own memory
+    peak_mb: float
+    exit_code: int | None  # of a process that ended before its run did
+    usual_requests: int
+    usual_answered: int  # with the status 200
+    usual_unanswered: int
+    other_connections: int
+    late_errors: int  # other connections that got neither an error nor their end in time
+    log: str
+
+    def describe(self) -> str:
+        """One line with the figures."""
+        return (
+            f"idle {self.idle_mb:.1f} MB, peak {self.peak_mb:.1f} MB, usual requests {self.usual_requests}, "
+            f"{self.usual_answered} answered, {self.usual_unanswered} without an answer, "
+            f"{self.other_connections} other connections, {self.late_errors} of them with a late error"
+        )
+
+
+def own_memory_mb(process_id: int) -> float:
+    """A process's anonymous memory, which no file backs; 0 once it has ended."""
+    with suppress(OSError, StopIteration):
+        lines = Path(f"/proc/{process_id}/status").read_text().splitlines()
+        line = next(line for line in lines if line.startswith("RssAnon"))
+        return int(line.split()[1]) * 1024 / BYTES_PER_MB
+    return 0.0
+
+
+class MemoryWatch:
+    """Notes the highest memory of a process."""
+
+    def __init__(self, process_id: int) -> None:
+        self.process_id, self.peak_mb = process_id, 0.0
+
+    async def run(self) -> None:
+        while True:
+            self.peak_mb = max(self.peak_mb, own_memory_mb(self.process_id))
+            await asyncio.sleep(POLL_SECONDS)
+
+
+async def play(settings: MemoryRunSettings, folder: Path) -> MemoryRunResult:
+    async with SidecarGroup(folder, settings.seed, sidecar_count=1, upstreams=8) as group:
+        (sidecar,) = group.sidecars
+        for upstream in group.upstreams:
+            upstream.answer_bytes = LARGE_ANSWER_BYTES if Shape.UNREAD_ANSWERS in settings.shapes else 0
+        sidecar.configure(limits={"sockets": settings.descriptors, "memory_mb": settings.memory_mb})
+        await group.start_sidecars()
+        assert sidecar.process is not None
+        idle_mb = own_memory_mb(sidecar.process.pid)
+        watch = MemoryWatch(sidecar.process.pid)
+        count = settings.descriptors // DESCRIPTOR_SHARE - USUAL_CLIENTS
+        shapes = [settings.shapes[n % len(settings.shapes)] for n in range(count)]
+        group.start_clients(USUAL_CLIENTS, USUAL_PAUSE_SECONDS, settings.duration_seconds + 2 * QUIET_SECONDS)
+        watching = asyncio.create_task(watch.run())
+        await asyncio.sleep(QUIET_SECONDS)
+        others = await asyncio.to_thread(
+            run_clients, sidecar.listen_address, shapes, settings.duration_seconds
+        )
+        await group.wait_for_clients()
+        watching.cancel()
+        answered = sum(request.status == 200 for request in group.requests)
+        lost = [request for request in group.requests if request.loss_reason]
+        return MemoryRunResult(
+            idle_mb, watch.peak_mb, sidecar.process.poll(), len(group.requests), answered, len(lost),
+            others.connections, others.late_errors, sidecar.log_file.read_text(),
+        )  # fmt: skip
+
+
+def run_memory(settings: MemoryRunSettings) -> MemoryRunResult:
+    """Plays one run in an event loop of its own."""
+    with tempfile.TemporaryDirectory() as folder:
+        return asyncio.run(play(settings, Path(folder)))
--- a/tests/faults/test_disconnects_and_shutdown.py
+++ b/tests/faults/test_disconnects_and_shutdown.py
@@ -5,7 +5,11 @@
 import time
 from typing import Any
 
+import pytest
+
+from maddercart.sidecar.dispatches import Dispatcher
 from tests.helpers import MS, SidecarHarness
+from tests.test_turns import TurnCounts
 
 
 def test_connections_that_temporarily_cannot_be_accepted_are_accepted_before_the_listener_closes() -> None:
@@ -74,3 +78,21 @@
         partial.sendall(b"GET /look HTTP/1.1\r\nHost: x\r\n")
         other.sendall(b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n")
         assert harness.response_status(partial) == 408 and harness.response_status(other) == 200
+
+
+@pytest.mark.parametrize("returns", [1, 2])
+def test_an_unsafe_request_that_comes_again_after_its_client_left_is_sent_once(
+    monkeypatch: pytest.MonkeyPatch, returns: int
+) -> None:
+    """Its id was forgotten with its client while the attempt could still run, and it was sent again."""
+    with SidecarHarness(upstreams=2) as harness:
+        attempts = TurnCounts(monkeypatch, harness.node.loop, Dispatcher, "write_request")
+        client = harness.send_request("once", trace="unsafe")
+        harness.run_until(lambda: sum(attempts.by_turn))
+        for _ in range(returns):
+            client.close()
+            harness.run_until(lambda: not harness.node.applications.connections)
+            client = harness.send_request("once", trace="unsafe")
+            harness.run_until(lambda: harness.node.applications.connections)
+        assert harness.response_status(client) == 502, "it may have run"
+        assert sum(attempts.by_turn) == 1
