--- a/maddercart/cli.py
+++ b/maddercart/cli.py
@@ -1,19 +1,17 @@
 """The command line interface."""
 
-import logging
 from pathlib import Path
 from typing import Annotated
 
 import typer
 
 from maddercart import __version__
+from maddercart.gateway.commands import PASS_ON, gateway, routes
 from maddercart.gateway.commands import config as config_commands
-from maddercart.gateway.commands import gateway, routes
 from maddercart.lab.commands import lab
 from maddercart.rig.commands import register
-from maddercart.sidecar import logs
+from maddercart.services import CONFIG_VARIABLE, EXIT_INVALID_CONFIG, serve_sidecar
 from maddercart.sidecar.configuration import load_configuration
-from maddercart.sidecar.node import SidecarNode
 
 app = typer.Typer(
     add_completion=False, no_args_is_help=True, pretty_exceptions_enable=False,
@@ -24,33 +22,14 @@
 app.add_typer(config_commands, name="config")
 app.add_typer(lab, name="lab")
 register(app)
-log = logging.getLogger(__name__)
 
-ConfigFile = Annotated[Path | None, typer.Option(envvar="RELAY_CONFIG", help="The JSON configuration file.")]
-Level = Annotated[
-    str, typer.Option(envvar="MADDERCART_LOG", help="Log level: DEBUG, INFO, WARNING or ERROR.")
-]
+ConfigFile = Annotated[Path | None, typer.Option(envvar=CONFIG_VARIABLE, help="The JSON configuration file.")]
 
-EXIT_INVALID_CONFIG = 2  # also for a configuration that is missing
 
-
-@app.command()
-def serve(config: ConfigFile = None, level: Level = "INFO") -> None:
+@app.command(context_settings=PASS_ON, add_help_option=False)
+def serve(context: typer.Context) -> None:
     """Runs the sidecar until SIGTERM; SIGHUP reloads the configuration."""
-    log_queue, code = logs.start(level), 0
-    try:
-        loaded = load_configuration(config)
-    except (OSError, ValueError) as error:
-        log.error("configuration can't be used", extra={"file": str(config), "reason": str(error)})
-        code = EXIT_INVALID_CONFIG
-    else:
-        try:
-            SidecarNode(loaded, lambda: load_configuration(config)).run()
-        except Exception:
-            log.exception("sidecar failed")
-            code = 1
-    logs.flush(log_queue)
-    raise typer.Exit(code)
+    raise typer.Exit(serve_sidecar(context.args))
 
 
 @app.command()
--- a/maddercart/gateway/commands.py
+++ b/maddercart/gateway/commands.py
@@ -1,13 +1,12 @@
 """The commands `gateway`, `routes` and `config`; modules are imported by the command that needs them."""
 
-import logging
 from pathlib import Path
 from typing import TYPE_CHECKING, Annotated, Any
 
 import msgspec
 import typer
 
-from maddercart.sidecar import logs
+from maddercart.services import serve_gateway
 
 if TYPE_CHECKING:
     from maddercart.gateway.config import GatewayConfig
@@ -15,9 +14,9 @@
 gateway = typer.Typer(help="Runs an HTTP gateway from a configuration file.", no_args_is_help=True)
 routes = typer.Typer(help="Inspects the routes of a gateway configuration.", no_args_is_help=True)
 config = typer.Typer(help="Shows a gateway configuration and its reference.", no_args_is_help=True)
-log = logging.getLogger(__name__)
-
 EXIT_UNUSABLE_CONFIG = 2
+# Of commands whose options `maddercart.services` reads, also for their help.
+PASS_ON = {"allow_extra_args": True, "ignore_unknown_options": True}
 FileArgument = Annotated[
     Path, typer.Argument(envvar="MADDERCART_GATEWAY", help="gateway configuration file (TOML)")
 ]
@@ -27,24 +26,10 @@
 JsonOption = Annotated[bool, typer.Option("--json", help="print JSON")]
 
 
-@gateway.command()
-def serve(file: FileArgument) -> None:
+@gateway.command(context_settings=PASS_ON, add_help_option=False)
+def serve(context: typer.Context) -> None:
     """Serves until SIGTERM; SIGHUP reloads the file, which is applied as a whole or not at all."""
-    from maddercart.gateway.config import ConfigFileError
-    from maddercart.gateway.node import GatewayNode
-
-    gateway_config = read_or_exit(file)
-    lines, code = logs.start(gateway_config.log.level, gateway_config.log.form), 0
-    try:
-        GatewayNode(file).run()
-    except (OSError, ConfigFileError) as error:
-        log.error("gateway failed to start", extra={"reason": str(error)})
-        code = EXIT_UNUSABLE_CONFIG
-    except Exception:
-        log.exception("gateway stopped by an unexpected error")
-        code = 1
-    logs.flush(lines)
-    raise typer.Exit(code)
+    raise typer.Exit(serve_gateway(context.args))
 
 
 @gateway.command()
--- a/maddercart/rig/processes/faulty.py
+++ b/maddercart/rig/processes/faulty.py
@@ -1,4 +1,4 @@
-"""Runs maddercart's command line with a stepped wall clock and failing system calls.
+"""Runs maddercart's services with a stepped wall clock and failing system calls.
 
     MADDERCART_RIG_WALL=FILE MADDERCART_RIG_FAULTS=SEED:SHARE python -m maddercart.rig.processes.faulty serve
 
@@ -10,6 +10,7 @@
 import errno
 import os
 import socket
+import sys
 import time
 from pathlib import Path
 from random import Random
@@ -99,9 +100,9 @@
     if faults := os.environ.get(FAULTS_VARIABLE):
         seed, _, share = faults.partition(":")
         inject_socket_faults(int(seed), float(share))
-    from maddercart.cli import app
+    from maddercart.services import run_service
 
-    app(prog_name="maddercart")
+    sys.exit(run_service(sys.argv[1:]))
 
 
 if __name__ == "__main__":
