One memory ledger for all that connections hold, in sidecar and gateway

Callers saw: a process over its memory limit, and killed, with hundreds of clients that wrote slowly, stopped half way or sent heads of many fields; with 32 MB and 321 clients peaks of 33.4 to 117.6 MB.

Cause: each connection had limits of its own (a head, a body, input ahead, an answer), and nothing set their sum against memory_mb but for bodies that upstreams were sending. Buffers just parsed stayed in the variables of coroutines that waited for more (16 KB a connection, with the fragments 5 MB).

Change: sidecar/memory.py keeps a ledger by use (connections, parts, ahead, queries, answers, upstreams). Its limit is memory_mb less the program's own memory, measured at the start, and a reserve. Over its share a use is not read: requests in part wait for room, and those that have been in part for 0.5 s are refused with 503 to make it; input ahead is dropped and the connection ends with 503 after its answers; answers wait unread until there is room, and a client that has read none for 1 s is closed. Small input (4 KB) is read always. A head has at most 128 fields. Read-ahead is parsed 16 KB at a time. Logged: own memory and what is held by use every 10 s, at once when memory is short; refusals are counted by status.

Why it works: every byte that stays over a turn is in the ledger, and no read follows one that fills it.

--- a/benchmarks/lists.py
+++ b/benchmarks/lists.py
@@ -18,6 +18,7 @@
 from maddercart.net.loop import Loop
 from maddercart.sidecar.backing import UpstreamPool
 from maddercart.sidecar.clock import MonotonicClock
+from maddercart.sidecar.memory import MemoryLedger
 
 RUNS = 15
 
@@ -39,7 +40,9 @@
         "permits": BalancerOptions(3, True, False, SECOND, False),
     }  # fmt: skip
     clock = MonotonicClock()
-    return UpstreamPool(Loop(clock), clock, 1, ["a", "b"], ["m"], arguments, lambda: None)
+    return UpstreamPool(
+        Loop(clock), clock, 1, ["a", "b"], ["m"], arguments, lambda: None, MemoryLedger(1 << 30)
+    )
 
 
 def learn(backing: UpstreamPool, data: bytes) -> float:
--- a/maddercart/gateway/node.py
+++ b/maddercart/gateway/node.py
@@ -18,12 +18,15 @@
 from maddercart.net.sockets import listen, parse_address
 from maddercart.sidecar.applications import ApplicationServer
 from maddercart.sidecar.clock import MonotonicClock
-from maddercart.sidecar.node import (
-    BODY_MEMORY_SHARE,
-    COUNTS_INTERVAL_NS,
+from maddercart.sidecar.memory import (
+    DEFAULT_OWN_BYTES,
     MEGABYTE_BYTES,
-    RESERVED_DESCRIPTORS,
+    MemoryLedger,
+    ledger_limit,
+    memory_figures,
+    own_memory_bytes,
 )
+from maddercart.sidecar.node import ANSWER_BODY_SHARE, COUNTS_INTERVAL_NS, RESERVED_DESCRIPTORS
 from maddercart.sidecar.signals import install_signal_handlers
 from maddercart.sidecar.stopping import shut_down
 
@@ -50,6 +53,8 @@
         self.clock = MonotonicClock()
         self.loop = Loop(self.clock)
         self.seed = self.config.process.seed or secrets.randbits(63)
+        self.own_bytes = DEFAULT_OWN_BYTES  # of the program alone
+        self.ledger = MemoryLedger(ledger_limit(self.config.process.memory_mb, self.own_bytes))
         self.routing = Routing(self.clock, self.seed)
         self.pools: dict[str, ActivePool] = {}  # by pool name
         # Pools that the current configuration no longer has, but that still hold queries or dispatches.
@@ -93,8 +98,9 @@
             active_pool = previous.pop(pool.name, None)
             if active_pool is None:
                 active_pool = ActivePool(
-                    self.loop, self.clock, self.seed + n, pool, routes_of[pool.name], self.path.parent
-                )
+                    self.loop, self.clock, self.seed + n, pool, routes_of[pool.name], self.path.parent,
+                    self.ledger,
+                )  # fmt: skip
             elif (active_pool.config, active_pool.routes) != (pool, routes_of[pool.name]):
                 active_pool.reconfigure(pool, routes_of[pool.name], self.path.parent)
             active_pool.routes = routes_of[pool.name]
@@ -117,7 +123,9 @@
             handler = HttpRequestHandler(listener.name, listener.ready, self.routing, self.is_ready)
             if listener.name in opened:
                 sock = opened[listener.name]
-                applications = ApplicationServer(self.loop, self.clock, handler, self.routing.counts)
+                applications = ApplicationServer(
+                    self.loop, self.clock, handler, self.routing.counts, self.ledger
+                )
                 active_listeners[listener.name] = ActiveListener(listener, sock, applications)
                 applications.accept_task = self.loop.spawn(applications.accept_connections(sock))
                 continue
@@ -140,21 +148,23 @@
             )  # fmt: skip
 
     def divide_resources(self, config: GatewayConfig) -> None:
-        """Divides descriptors and body memory.
+        """Divides descriptors, and limits memory.
 
-        Half of the descriptors go to listeners and half to pools, in even shares; body memory is divided
-        evenly between pools.
+        Half of the descriptors go to listeners and half to pools, in even shares. All share one memory
+        ledger.
         """
         free = max(2, min(config.process.descriptors, getrlimit(RLIMIT_NOFILE)[0]) - RESERVED_DESCRIPTORS)
-        body_bytes = int(config.process.memory_mb * MEGABYTE_BYTES * BODY_MEMORY_SHARE)
+        answer_bytes = int(config.process.memory_mb * MEGABYTE_BYTES * ANSWER_BODY_SHARE)
+        self.ledger.limit_bytes = ledger_limit(config.process.memory_mb, self.own_bytes)
+        listeners = len(self.active_listeners)
+        memory_connections = max(MIN_CONNECTIONS, self.ledger.max_connections() // listeners)
         for active in self.active_listeners.values():
-            active.applications.max_connections = active.config.connections or max(
-                MIN_CONNECTIONS, free // 2 // len(self.active_listeners)
-            )
+            connections = active.config.connections or max(MIN_CONNECTIONS, free // 2 // listeners)
+            active.applications.max_connections = min(connections, memory_connections)
             active.applications.max_body_bytes = max(route.body for route in config.routes)
         for active_pool in self.pools.values():
             active_pool.set_limits(
-                max(MIN_CONNECTIONS, (free - free // 2) // len(self.pools)), body_bytes // len(self.pools)
+                max(MIN_CONNECTIONS, (free - free // 2) // len(self.pools)), answer_bytes // len(self.pools)
             )
 
     def reload(self) -> None:
@@ -204,6 +214,8 @@
         )
         gc.collect()
         gc.freeze()
+        self.own_bytes = own_memory_bytes() or DEFAULT_OWN_BYTES
+        self.divide_resources(self.config)
         addresses = ",".join(
             "{}:{}".format(*active.sock.getsockname()) for active in self.active_listeners.values()
         )
@@ -249,6 +261,7 @@
             if self.routing.counts and self.clock() >= self.next_report_at:
                 self.next_report_at = self.clock() + COUNTS_INTERVAL_NS
                 log.info("counts", extra=dict(sorted(self.routing.counts.items())))
+                log.info("memory", extra=memory_figures(self.ledger))
                 self.routing.counts.clear()
 
     def report_due(self, active_pool: ActivePool) -> bool:
--- a/maddercart/gateway/pools.py
+++ b/maddercart/gateway/pools.py
@@ -19,6 +19,7 @@
 from maddercart.sidecar.clock import MonotonicClock
 from maddercart.sidecar.discovery import Discovery
 from maddercart.sidecar.endings import Ending
+from maddercart.sidecar.memory import MemoryLedger
 
 log = logging.getLogger(__name__)
 
@@ -86,6 +87,7 @@
         pool: Pool,
         routes: Sequence[Route],
         base_dir: Path,
+        ledger: MemoryLedger,
     ) -> None:
         """Starts following the pool's members; `base_dir` is where a relative members file is looked up."""
         self.loop, self.clock, self.config, self.base_dir = loop, clock, pool, base_dir
@@ -94,7 +96,7 @@
         self.watch_task: Task | None = None  # follows a members file
         self.upstream_pool = UpstreamPool(
             loop, clock, seed, zone_names(pool), kind_names(pool), balancer_arguments(pool, routes),
-            self.follow_discovery, classify_status,
+            self.follow_discovery, ledger, classify_status,
         )  # fmt: skip
         self.driver = self.upstream_pool.driver
         self.retry_limiter: RetryLimiter | None = None
@@ -133,10 +135,10 @@
         headers = [(b"Host", host.encode()), (b"User-Agent", b"maddercart-probe")]
         return ProbeQuery(b"GET", self.config.probe.encode(), headers, b"", 0, PROBE_TIMEOUT_NS, b"")
 
-    def set_limits(self, max_connections: int, body_bytes: int) -> None:
-        """Limits connections to upstreams and the memory for bodies, in bytes."""
+    def set_limits(self, max_connections: int, answer_bytes: int) -> None:
+        """Limits connections to upstreams and the body of an answer, in bytes."""
         self.upstream_pool.limit(
-            max_connections, body_bytes, seconds_to_ns(self.config.idle),
+            max_connections, answer_bytes, seconds_to_ns(self.config.idle),
             seconds_to_ns(self.config.connect_timeout),
         )  # fmt: skip
         if self.config.answer:
--- a/maddercart/http/client.py
+++ b/maddercart/http/client.py
@@ -5,7 +5,7 @@
 
 import h11
 
-from maddercart.http.parsing import MAX_EVENTS_PER_TURN
+from maddercart.http.parsing import MAX_EVENTS_PER_TURN, has_too_many_fields
 
 
 class MalformedResponse(ValueError):
@@ -39,6 +39,11 @@
         """The number of bytes of the body received so far."""
         return len(self.body)
 
+    @property
+    def received_bytes(self) -> int:
+        """The bytes of the response received so far, those that are not parsed yet included."""
+        return len(self.body) + len(self.connection.trailing_data[0])
+
     @property
     def response_started(self) -> bool:
         """Whether a response has been received in part."""
@@ -71,6 +76,8 @@
         self.unfinished = False
         try:
             for _ in range(MAX_EVENTS_PER_TURN):
+                if self.response is None and has_too_many_fields(self.connection.trailing_data[0]):
+                    raise MalformedResponse("the head has too many fields")
                 event = self.connection.next_event()
                 if event is h11.NEED_DATA or event is h11.PAUSED:
                     return None
--- a/maddercart/http/read_ahead.py
+++ b/maddercart/http/read_ahead.py
@@ -9,7 +9,7 @@
 from maddercart.http.server import RequestError, ServerProtocol
 
 MAX_READ_AHEAD_BYTES = 16384  # of a connection, held until the requests before have been answered
-EXCESS_READ_BYTES = 65536  # parsed and dropped at once
+EXCESS_READ_BYTES = 16384  # parsed and dropped at once
 
 REFUSAL_STATUS = 503  # nothing was sent on, so a retry is harmless
 # No body, so that the refusals of all methods, HEAD included, are the same.
@@ -20,8 +20,9 @@
     """Parses what lies behind the request that is being answered, without keeping any of it.
 
     `kept` is the number of whole requests within the limit that the connection's protocol still holds; they
-    come before the `refused` ones. `error` is set once the input is not an acceptable request; what follows
-    is ignored. `unfinished` is true if there is input left to parse in a later turn of the loop.
+    come before the `refused` ones. `error` is set once the input is not an acceptable request, or is not
+    received any more; what follows is ignored. `unfinished` is true if there is input left to parse in a
+    later turn of the loop.
     """
 
     def __init__(self, max_body_bytes: int, held: bytes) -> None:
@@ -33,14 +34,27 @@
         self.refusal = b""
         self.last_refusal = b""  # of the request that ends the connection; it is not in `refused`
         self.error: RequestError | None = None
+        self.stopped_by: RequestError | None = None  # `error` once what was received before is parsed
         self.unfinished = True
 
     def feed(self, data: bytes) -> None:
         """Adds received bytes. To be called only if nothing is `unfinished`."""
-        if not self.has_ended:
+        if not self.has_ended and self.stopped_by is None:
             self.protocol.feed(data)
             self.parse()
 
+    def stop(self, reason: RequestError) -> None:
+        """Ignores all input from now on. The connection ends with `reason` once the requests that came whole
+        have been answered."""
+        if not self.has_ended and self.stopped_by is None:
+            self.stopped_by = reason
+            if not self.unfinished:
+                self.end_stopped()
+
+    def end_stopped(self) -> None:
+        self.error = self.stopped_by
+        self.protocol.restart()  # drops the part of a request
+
     def parse(self) -> None:
         """Counts the requests that are complete, within what one turn of the loop may parse."""
         budget = MAX_EVENTS_PER_TURN
@@ -55,6 +69,8 @@
                 self.count()
             elif not self.protocol.unfinished:  # more has to be received
                 self.within_limit = self.unfinished = False
+                if self.stopped_by is not None:
+                    self.end_stopped()
                 return
         self.unfinished = not self.has_ended
 
@@ -125,6 +141,19 @@
         self.excess = ExcessRequests(self.protocol.max_body_bytes, self.protocol.unparsed)
         self.excess.parse()
 
+    def stop(self, reason: RequestError) -> None:
+        """Receives nothing more of the requests behind the one that is being answered; see
+        `ExcessRequests.stop`."""
+        if self.excess is None:
+            self.begin_excess()
+        if self.excess is not None:
+            self.excess.stop(reason)
+
+    @property
+    def held_bytes(self) -> int:
+        """The received bytes that are not handled yet."""
+        return self.protocol.unparsed_bytes + (self.excess.protocol.unparsed_bytes if self.excess else 0)
+
     def end_excess(self) -> None:
         """Goes back to handling requests, once all that were read have been answered."""
         self.excess = None
--- a/maddercart/http/server.py
+++ b/maddercart/http/server.py
@@ -6,7 +6,7 @@
 
 import h11
 
-from maddercart.http.parsing import MAX_EVENTS_PER_TURN
+from maddercart.http.parsing import MAX_EVENTS_PER_TURN, has_too_many_fields
 
 MAX_BODY_BYTES = 65536  # maximum size of a request body in bytes, set by the protocol
 MAX_HEAD_BYTES = 16384  # request line and headers; a usual limit among servers
@@ -76,6 +76,11 @@
         """The number of received bytes that are not parsed yet."""
         return len(self.unparsed)
 
+    @property
+    def head_fields(self) -> Sequence[tuple[bytes, bytes]]:
+        """The header fields of a request that has been received in part."""
+        return () if self.request is None else self.request.headers.raw_items()
+
     @property
     def bytes_wanted(self) -> int:
         """How many bytes to receive next: what the body lacks where its length is known, so that little is
@@ -101,6 +106,8 @@
         for self.events_taken in range(1, max_events + 1):
             if self.closing:
                 return None
+            if self.request is None and has_too_many_fields(self.unparsed):
+                raise RequestError(431, "the head has too many fields")
             try:
                 event = self.connection.next_event()
             except h11.RemoteProtocolError as error:
--- a/maddercart/rig/processes/memory_run.py
+++ b/maddercart/rig/processes/memory_run.py
@@ -39,6 +39,7 @@
     other_connections: int
     late_errors: int  # other connections that got neither an error nor their end in time
     log: str
+    losses: list[str]  # one line for each usual request without an answer
 
     def describe(self) -> str:
         """One line with the figures."""
@@ -95,6 +96,7 @@
         return MemoryRunResult(
             idle_mb, watch.peak_mb, sidecar.process.poll(), len(group.requests), answered, len(lost),
             others.connections, others.late_errors, sidecar.log_file.read_text(),
+            [f"{request.trace_id}: {request.loss_reason}" for request in lost],
         )  # fmt: skip
 
 
--- a/maddercart/sidecar/applications.py
+++ b/maddercart/sidecar/applications.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Generator
 
 from maddercart.http.server import MAX_BODY_BYTES, Request, RequestError
-from maddercart.interface import MILLISECOND
+from maddercart.interface import MILLISECOND, SECOND
 from maddercart.messages.query import Query
 from maddercart.messages.responses import ClientResponse, bounced_response, client_error_response
 from maddercart.net.loop import (
@@ -29,15 +29,19 @@
 )
 from maddercart.sidecar.application_connection import (
     EVICTABLE_AFTER_NS,
+    EVICTABLE_FOR_MEMORY_NS,
     PHASE_TIMEOUTS_NS,
     ApplicationConnection,
     Phase,
 )
+from maddercart.sidecar.memory import RELIEVED_SHARE, ROOM_POLL_NS, MemoryLedger, memory_figures
 from maddercart.sidecar.request_handlers import AcceptedQuery, RejectedRequest, RequestHandler
-from maddercart.sidecar.request_reader import RequestReader
+from maddercart.sidecar.request_reader import MEMORY_REFUSAL_STATUS, RequestReader
 
 log = logging.getLogger(__name__)
 
+SHORTAGE_LOG_INTERVAL_NS = SECOND
+
 
 class ApplicationServer:
     """Accepts and serves the connections of one listener."""
@@ -46,9 +50,12 @@
     ACCEPT_BATCH = 32  # connections accepted in a turn: hundreds at once must not delay those being served
 
     def __init__(
-        self, loop: Loop, clock: Callable[[], int], handler: RequestHandler, counts: Counter[str]
-    ) -> None:
+        self, loop: Loop, clock: Callable[[], int], handler: RequestHandler, counts: Counter[str],
+        ledger: MemoryLedger,
+    ) -> None:  # fmt: skip
         self.loop, self.clock, self.handler, self.counts = loop, clock, handler, counts
+        self.ledger = ledger
+        self.relieved_at = self.shortage_logged_at = 0  # when memory was last looked for
         # connections; bytes of a request's body
         self.max_connections, self.max_body_bytes = 1, MAX_BODY_BYTES
         self.connections: set[ApplicationConnection] = set()
@@ -57,7 +64,7 @@
         self.stopping = False
         self.answer_deadline: int | None = None  # by which queries are answered while the process stops
         self.accept_task: Task | None = None
-        self.reader = RequestReader(loop, clock, self.enter_phase, counts)
+        self.reader = RequestReader(loop, clock, self.enter_phase, counts, self.relieve_memory)
 
     # -- accepting
 
@@ -80,7 +87,7 @@
                 return False
             if (sock := accept(listener)) is None:
                 return True
-            connection = ApplicationConnection(sock, self.max_body_bytes)
+            connection = ApplicationConnection(sock, self.max_body_bytes, self.ledger)
             if not connection.is_silent():
                 connection.waiting_since = self.loop.events_since
             self.connections.add(connection)
@@ -110,9 +117,37 @@
             return True
         if self.phases[Phase.REFUSED]:  # a refused connection will free its slot in a moment
             return False
+        connection.phase_deadline = self.clock()
         self.loop.resume(task, DEADLINE_PASSED)
         return True
 
+    def relieve_memory(self) -> None:
+        """Gives up what connections hold that have been longest in their phase: requests of which no more
+        comes, and answers that are not read. Called while input is not read for want of memory."""
+        now = self.clock()
+        if now - self.relieved_at < ROOM_POLL_NS:
+            return
+        self.relieved_at = now
+        if now - self.shortage_logged_at >= SHORTAGE_LOG_INTERVAL_NS:
+            self.shortage_logged_at = now
+            log.warning("memory is short", extra={**memory_figures(self.ledger), **self.phase_counts()})
+        wanted_bytes = self.ledger.bytes_over(RELIEVED_SHARE)
+        for phase, evictable_after in EVICTABLE_FOR_MEMORY_NS.items():
+            for connection, since in list(self.phases[phase].items()):
+                if now - since < evictable_after or wanted_bytes <= 0:
+                    break
+                if connection.task is not None and connection.account.is_large():
+                    wanted_bytes -= connection.account.total
+                    self.evict_for_memory(connection, connection.task)
+
+    def evict_for_memory(self, connection: ApplicationConnection, task: Task) -> None:
+        self.counts["evicted_for_memory"] += 1
+        if connection.phase == Phase.PART:
+            connection.evicted_for_memory = True
+            self.loop.wake(task)
+        else:
+            self.loop.close(task)
+
     def is_crowded(self) -> bool:
         """Whether a free slot is worth more than keeping a connection open: more than half of all slots are
         taken, and idle connections hold a third. Clients that ask once and keep their connection would hold
@@ -143,6 +178,7 @@
                 connection.driver.drop_query(connection.query_number)
             self.connections.discard(connection)
             self.phases[connection.phase].pop(connection, None)
+            connection.account.close()
             close(self.loop, connection.sock)
 
     def handle_requests(self, connection: ApplicationConnection) -> Generator[Wait, int, None]:
@@ -166,6 +202,7 @@
         if request is None:
             return False
         self.enter_phase(connection, Phase.BUSY)
+        connection.hold_query(request)
         waited = self.wait_before_last_read(connection)
         reply: ClientResponse | None
         if sent_ahead and self.stopping:
@@ -186,9 +223,14 @@
         has_more = connection.ahead.pending
         close = not has_more and (self.stopping or self.is_crowded())
         out = connection.protocol.serialize_response(reply.status, reply.headers(), reply.body, close)
+        connection.hold_answer(len(reply.body))
+        self.enter_phase(connection, Phase.WRITING)
         if not (yield from write(connection.sock, out, self.reader.write_deadline())):
             return False
+        connection.hold_answer(0)
+        connection.hold_ahead()
         if has_more:
+            self.enter_phase(connection, Phase.BUSY)
             yield NEXT_TURN
         else:
             self.enter_phase(connection, Phase.IDLE)
@@ -196,11 +238,16 @@
 
     def refuse(self, connection: ApplicationConnection, error: RequestError) -> Generator[Wait, int, None]:
         """Answers a request that is not acceptable, after which the connection ends."""
-        refusal = self.reject(error.status, str(error))
+        refusal = (
+            client_error_response(error.status, str(error))
+            if error.status == MEMORY_REFUSAL_STATUS
+            else self.reject(error.status, str(error))
+        )
         out = connection.protocol.serialize_response(
             refusal.status, refusal.headers(), refusal.body, close=True
         )
         self.enter_phase(connection, Phase.REFUSED)
+        connection.drop_input()
         if (yield from write(connection.sock, out, connection.phase_deadline)):
             yield from self.discard_input(connection)
 
@@ -276,6 +323,7 @@
 
     def reject(self, status: int, reason: str) -> ClientResponse:
         self.counts["unfit"] += 1
+        self.counts[f"unfit_{status}"] += 1
         log.debug("request rejected", extra={"status": status, "reason": reason})
         return client_error_response(status, reason)
 
--- a/maddercart/sidecar/backing.py
+++ b/maddercart/sidecar/backing.py
@@ -14,6 +14,7 @@
 from maddercart.sidecar.decisions import BalancerDriver
 from maddercart.sidecar.dispatches import Dispatcher
 from maddercart.sidecar.endings import Ending, ending_of_status
+from maddercart.sidecar.memory import MemoryLedger
 from maddercart.sidecar.upstreams import Upstreams
 
 log = logging.getLogger(__name__)
@@ -35,12 +36,12 @@
 
     def __init__(
         self, loop: Loop, clock: Callable[[], int], seed: int, zones: Sequence[str], kinds: Sequence[str],
-        arguments: Mapping[str, Any], follow_list: Callable[[], None],
+        arguments: Mapping[str, Any], follow_list: Callable[[], None], ledger: MemoryLedger,
         classify: Callable[[int, bool], Ending] = ending_of_status,
     ) -> None:  # fmt: skip
         self.upstreams = Upstreams(clock, zones, kinds)
-        self.pool = ConnectionPool(loop, clock, self.upstreams.ready)
-        self.dispatcher = Dispatcher(self.pool, clock, self.upstreams.may_send, classify)
+        self.pool = ConnectionPool(loop, clock, self.upstreams.ready, ledger)
+        self.dispatcher = Dispatcher(self.pool, clock, self.upstreams.may_send, ledger, classify)
         balancer = Balancer(clock(), seed, **arguments)
         self.heard_from_peers: set[int] = set()  # upstreams with entries that discovery has not confirmed
         self.driver = BalancerDriver(loop, clock, balancer, self.upstreams, self.dispatcher, follow_list)
@@ -83,12 +84,11 @@
         told."""
         self.driver.on_list_failed(remaining_ns)
 
-    def limit(self, connections: int, bodies: int, idle_close: int, connect_timeout: int) -> None:
-        """Limits that may change while queries are held: connections, bytes of bodies being received, and
+    def limit(self, connections: int, answer_bytes: int, idle_close: int, connect_timeout: int) -> None:
+        """Limits that may change while queries are held: connections, bytes of an answer's body, and
         durations in nanoseconds."""
         self.pool.max_connections = connections
-        self.dispatcher.max_body_bytes = bodies
-        self.pool.max_body_bytes = bodies // 4
+        self.pool.max_body_bytes = answer_bytes
         self.pool.set_idle_close(idle_close)
         self.dispatcher.connect_timeout_ns = connect_timeout
 
--- a/maddercart/sidecar/connection_pool.py
+++ b/maddercart/sidecar/connection_pool.py
@@ -8,6 +8,7 @@
 from maddercart.interface import SECOND
 from maddercart.net.loop import Coroutine, Loop, Wait
 from maddercart.net.sockets import close
+from maddercart.sidecar.memory import UPSTREAM_CONNECTION_BYTES, MemoryLedger, MemoryUse
 
 Address = tuple[str, int]  # IPv4 address, port
 
@@ -40,9 +41,11 @@
     KEEP_SHARE = 0.7
     SWEEP_INTERVAL_NS = SECOND  # well under the remaining share of that time
 
-    def __init__(self, loop: Loop, clock: Callable[[], int], ready: Container[int]) -> None:
+    def __init__(
+        self, loop: Loop, clock: Callable[[], int], ready: Container[int], ledger: MemoryLedger
+    ) -> None:
         """`ready`: the upstreams that may get new queries; it may change later."""
-        self.loop, self.clock = loop, clock
+        self.loop, self.clock, self.ledger = loop, clock, ledger
         self.max_connections, self.idle_timeout, self.max_body_bytes = 1, 0, 0  # max_body_bytes: of an answer
         self.ready = ready
         self.idle: defaultdict[int, list[Connection]] = defaultdict(list)  # by upstream, last used at the end
@@ -72,9 +75,13 @@
             sock = self.loop.system_calls.tcp()
         except OSError:
             return None
-        self.connection_count += 1
+        self.count_connections(1)
         return Connection(upstream, address, sock, self.max_body_bytes)
 
+    def count_connections(self, change: int) -> None:
+        self.connection_count += change
+        self.ledger.add(MemoryUse.UPSTREAMS, change * UPSTREAM_CONNECTION_BYTES)
+
     def put_back(self, connection: Connection) -> None:
         """Keeps a connection as idle, or closes it if its upstream gets no new queries."""
         if connection.upstream not in self.ready:
@@ -93,7 +100,7 @@
 
     def close(self, connection: Connection) -> None:
         if connection.sock.fileno() >= 0:
-            self.connection_count -= 1
+            self.count_connections(-1)
             close(self.loop, connection.sock)
 
     def close_expired(self) -> Coroutine:
--- a/maddercart/sidecar/dispatches.py
+++ b/maddercart/sidecar/dispatches.py
@@ -9,9 +9,17 @@
 from maddercart.messages.query import Query
 from maddercart.messages.responses import UpstreamResponse, parse_response
 from maddercart.net.loop import NEXT_TURN, Wait
-from maddercart.net.sockets import LOCAL_RESOURCE_ERRNOS, connect, read, write
+from maddercart.net.sockets import LOCAL_RESOURCE_ERRNOS, READ_SIZE_BYTES, connect, read, write
 from maddercart.sidecar.connection_pool import Address, Connection, ConnectionPool
 from maddercart.sidecar.endings import Ending, ending_of_status
+from maddercart.sidecar.memory import (
+    ANSWER_SHARE,
+    BODY_COPIES,
+    MemoryAccount,
+    MemoryLedger,
+    MemoryUse,
+    wait_for_room,
+)
 
 log = logging.getLogger(__name__)
 
@@ -33,7 +41,7 @@
 
     def __init__(
         self, pool: ConnectionPool, clock: Callable[[], int], may_send: Callable[[int, Address], bool],
-        classify: Callable[[int, bool], Ending] = ending_of_status,
+        ledger: MemoryLedger, classify: Callable[[int, bool], Ending] = ending_of_status,
     ) -> None:  # fmt: skip
         """`may_send` tells whether an upstream may get a new query at an address, by the list as known now.
         `classify` gives the ending for an answer's status and whether the answer says that it never ran."""
@@ -42,7 +50,7 @@
         self.has_unread_updates: Callable[[], bool] = lambda: False
         self.has_unapplied_updates: Callable[[], bool] = lambda: False
         self.connect_timeout_ns = 0
-        self.body_bytes = self.max_body_bytes = 0  # of partly received answers, all together, and the limit
+        self.ledger = ledger
 
     def send(
         self, query: Query, upstream: int, address: Address | None, deadline: int,
@@ -118,13 +126,15 @@
     def receive_answer(
         self, connection: Connection, deadline: int
     ) -> Generator[Wait, int, tuple[Ending, Response | None]]:
-        counted = 0  # bytes of this answer that are in `body_bytes`
+        account = MemoryAccount(self.ledger)
         try:
             while True:
-                data = yield from read(connection.sock, deadline)
+                data = yield from self.read_answer(connection, account, deadline)
                 if data is None:
                     return Ending.TIME_UP, None
+                at_end = not data
                 whole_answer = connection.protocol.feed(data)
+                del data  # not held a second time while more is awaited
                 while whole_answer is None and connection.protocol.unfinished:
                     yield NEXT_TURN
                     if self.clock() >= deadline:
@@ -132,17 +142,23 @@
                     whole_answer = connection.protocol.parse()
                 if whole_answer is not None:
                     return Ending.ANSWERED, whole_answer
-                if not data:
+                if at_end:
                     return Ending.BROKE_WRITTEN, None
-                self.body_bytes, counted = (
-                    self.body_bytes + connection.protocol.body_bytes - counted, connection.protocol.body_bytes
-                )  # fmt: skip
-                if self.body_bytes > self.max_body_bytes:  # many large bodies must not exhaust memory
-                    raise MalformedResponse("the bodies being received exceed the memory limit")
+                account.hold(MemoryUse.ANSWERS, BODY_COPIES * connection.protocol.received_bytes)
         except OSError:
             return Ending.BROKE_WRITTEN, None
         except MalformedResponse as error:
             log.debug("malformed answer", extra={"upstream": connection.upstream, "reason": str(error)})
-            return (Ending.MALFORMED if data else Ending.BROKE_WRITTEN), None
+            return (Ending.BROKE_WRITTEN if at_end else Ending.MALFORMED), None
         finally:
-            self.body_bytes -= counted
+            account.close()
+
+    def read_answer(
+        self, connection: Connection, account: MemoryAccount, deadline: int
+    ) -> Generator[Wait, int, bytes | None]:
+        """A part of an answer, once there is memory for it; as `read`."""
+        while not (readable := account.readable_bytes(MemoryUse.ANSWERS, ANSWER_SHARE, READ_SIZE_BYTES)):
+            if self.clock() >= deadline:
+                return None
+            yield wait_for_room(self.clock, deadline)
+        return (yield from read(connection.sock, deadline, readable))
--- a/maddercart/sidecar/node.py
+++ b/maddercart/sidecar/node.py
@@ -19,6 +19,14 @@
 from maddercart.sidecar.clock import MonotonicClock
 from maddercart.sidecar.configuration import peering_enabled, sidecar_balancer_arguments
 from maddercart.sidecar.discovery import Discovery
+from maddercart.sidecar.memory import (
+    DEFAULT_OWN_BYTES,
+    MEGABYTE_BYTES,
+    MemoryLedger,
+    ledger_limit,
+    memory_figures,
+    own_memory_bytes,
+)
 from maddercart.sidecar.peers import Peers
 from maddercart.sidecar.request_handlers import PlatformRequestHandler
 from maddercart.sidecar.signals import install_signal_handlers
@@ -29,10 +37,8 @@
 
 # descriptors for the listener, discovery, epoll, signals, the log and what Python opens
 RESERVED_DESCRIPTORS = 32
-MEGABYTE_BYTES = 1 << 20
-# Share of the memory limit for bodies being received: each is copied once to be sent, and the program
-# itself needs 30 MB.
-BODY_MEMORY_SHARE = 0.15
+# Of the memory limit, for the body of one answer.
+ANSWER_BODY_SHARE = 0.0375
 COUNTS_INTERVAL_NS = 10 * SECOND
 # Retries of a new configuration file that can't be read at the moment.
 CONFIG_READ_ATTEMPTS, CONFIG_RETRY_NS = 10, 100 * MILLISECOND
@@ -51,9 +57,11 @@
         settings, clock = config.settings, self.loop.clock
         self.config, self.read_config = config, read_config
         self.clock = clock
+        self.own_bytes = DEFAULT_OWN_BYTES  # of the program alone
+        self.ledger = MemoryLedger(ledger_limit(config.limits.memory_mb, self.own_bytes))
         self.upstream_pool = UpstreamPool(
             self.loop, clock, int(config.seed, 16), settings.zones, settings.kinds,
-            sidecar_balancer_arguments(config), lambda: self.discovery.follow(),
+            sidecar_balancer_arguments(config), lambda: self.discovery.follow(), self.ledger,
         )  # fmt: skip
         self.upstreams, self.pool = self.upstream_pool.upstreams, self.upstream_pool.pool
         self.dispatcher, self.driver = self.upstream_pool.dispatcher, self.upstream_pool.driver
@@ -80,7 +88,7 @@
                 int(config.seed, 16),
             )
         self.handler = PlatformRequestHandler(self.driver, self.upstream_pool.is_ready)
-        self.applications = ApplicationServer(self.loop, clock, self.handler, self.driver.counts)
+        self.applications = ApplicationServer(self.loop, clock, self.handler, self.driver.counts, self.ledger)
         self.wall_clock = WallClock()
         self.read_attempts = 0  # failed in a row
         self.longest_hard_stop = 0  # the longest hard stop of all settings so far, in nanoseconds
@@ -93,9 +101,10 @@
         """Applies limits and offering names, which may change while queries are held."""
         limits = config.settings.limits
         free = max(2, min(config.limits.sockets, getrlimit(RLIMIT_NOFILE)[0]) - RESERVED_DESCRIPTORS)
-        self.applications.max_connections = free // 2
+        self.ledger.limit_bytes = ledger_limit(config.limits.memory_mb, self.own_bytes)
+        self.applications.max_connections = min(free // 2, self.ledger.max_connections())
         self.upstream_pool.limit(
-            free - free // 2, int(config.limits.memory_mb * MEGABYTE_BYTES * BODY_MEMORY_SHARE),
+            free - free // 2, int(config.limits.memory_mb * MEGABYTE_BYTES * ANSWER_BODY_SHARE),
             nanos("limits.idle_close", limits.idle_close),
             nanos("limits.connect_timeout", limits.connect_timeout),
         )  # fmt: skip
@@ -153,6 +162,8 @@
         install_signal_handlers(self.loop, self.stop, self.reload)
         gc.collect()
         gc.freeze()  # objects from the start need no further garbage collection
+        self.own_bytes = own_memory_bytes() or DEFAULT_OWN_BYTES
+        self.apply_limits(self.config)
         if self.config.settings.limits.probing:
             log.warning("the settings allow probes, but this protocol has none")
         listen_address = "{}:{}".format(*self.listener.getsockname())
@@ -221,6 +232,7 @@
             self.wall_clock.check()
             if self.driver.counts:
                 log.info("counts", extra=self.figures())
+                log.info("memory", extra=memory_figures(self.ledger))
                 self.driver.counts.clear()
                 self.driver.latencies_ms.reset()
 
--- a/maddercart/sidecar/request_reader.py
+++ b/maddercart/sidecar/request_reader.py
@@ -3,11 +3,16 @@
 from collections import Counter
 from collections.abc import Callable, Generator
 
+from maddercart.http.read_ahead import EXCESS_READ_BYTES
 from maddercart.http.server import Request, RequestError, ServerProtocol
 from maddercart.interface import MILLISECOND, SECOND
-from maddercart.net.loop import NEXT_TURN, READ, WOKEN, Loop, Wait
-from maddercart.net.sockets import READ_SIZE_BYTES, PeerState, peer_state, read, read_available, write
+from maddercart.net.loop import DEADLINE_PASSED, NEXT_TURN, READ, WOKEN, Loop, Wait
+from maddercart.net.sockets import READ_SIZE_BYTES, PeerState, peer_state, read_available, write
 from maddercart.sidecar.application_connection import ApplicationConnection, Phase
+from maddercart.sidecar.memory import AHEAD_SHARE, REQUEST_SHARE, MemoryUse, wait_for_room
+
+MEMORY_REFUSAL_STATUS = 503  # nothing was sent on, so a retry is harmless
+NO_MEMORY = "there is no memory for the request; a retry is harmless"
 
 
 class RequestReader:
@@ -20,8 +25,11 @@
     def __init__(
         self, loop: Loop, clock: Callable[[], int],
         enter_phase: Callable[[ApplicationConnection, Phase], None], counts: Counter[str],
+        relieve_memory: Callable[[], None],
     ) -> None:  # fmt: skip
+        """`relieve_memory` is called where a connection finds no memory for its input."""
         self.loop, self.clock, self.enter_phase, self.counts = loop, clock, enter_phase, counts
+        self.relieve_memory = relieve_memory
 
     def read_request(
         self, connection: ApplicationConnection, protocol: ServerProtocol
@@ -29,6 +37,7 @@
         """The next request; None if the connection is to be closed. Raises `RequestError` and `OSError`."""
         sock = connection.sock
         while (request := protocol.next_request()) is None:
+            connection.hold_part(protocol)
             if protocol.unfinished:
                 self.enter_read_phase(connection, protocol)
                 yield NEXT_TURN
@@ -40,16 +49,45 @@
             self.note_unread_since(connection, protocol)
             self.enter_read_phase(connection, protocol)
             wanted = min(READ_SIZE_BYTES, protocol.bytes_wanted)
-            data = yield from read(sock, connection.phase_deadline, wanted)
-            if data is None:  # it may have come in time, while the loop was busy with others
-                data = read_available(sock, wanted)
+            data = yield from self.receive(connection, wanted)
             if data is None and not protocol.request_started:
                 return None
             if data is None:
-                raise RequestError(408, "the request did not come in time")
+                raise self.part_refusal(connection)
             protocol.feed(data)
+            del data  # not held a second time while more is awaited
         return request
 
+    def receive(
+        self, connection: ApplicationConnection, wanted_bytes: int
+    ) -> Generator[Wait, int, bytes | None]:
+        """Input of a request, once there is memory for it: empty at the end of the stream, None if the phase
+        of the connection has ended. Raises `OSError`."""
+        sock, account = connection.sock, connection.account
+        while True:
+            reason = yield Wait(sock.fileno(), READ, connection.phase_deadline)
+            if connection.evicted_for_memory:
+                return None
+            while not (readable := account.readable_bytes(MemoryUse.PARTS, REQUEST_SHARE, wanted_bytes)):
+                self.relieve_memory()
+                connection.evicted_for_memory |= self.clock() >= connection.phase_deadline
+                if connection.evicted_for_memory:
+                    return None
+                yield wait_for_room(self.clock, connection.phase_deadline)
+            data = read_available(sock, readable)
+            # At the deadline: it may have come in time, while the loop was busy with others.
+            if data is not None or reason == DEADLINE_PASSED:
+                return data
+
+    def part_refusal(self, connection: ApplicationConnection) -> RequestError:
+        """Why a request that was received in part is refused."""
+        if connection.evicted_for_memory:
+            self.counts["refused_memory"] += 1
+            return RequestError(
+                MEMORY_REFUSAL_STATUS, "there is no memory for the request; a retry is harmless"
+            )
+        return RequestError(408, "the request did not come in time")
+
     def note_unread_since(self, connection: ApplicationConnection, protocol: ServerProtocol) -> None:
         """Notes since when input has lain unread behind the part of a request that has been read: the rest,
         which is read in later turns, may all have come by then."""
@@ -105,13 +143,28 @@
     def read_on(self, connection: ApplicationConnection) -> bytes | None:
         """Reads what lies behind the request that is being answered; the result is that of
         `read_available`."""
-        if not (room := connection.ahead.room()):
+        wanted = connection.ahead.room()
+        readable = connection.account.readable_bytes(
+            MemoryUse.AHEAD, AHEAD_SHARE, wanted or EXCESS_READ_BYTES
+        )
+        if not readable:
+            self.stop_reading_ahead(connection)
+        elif not wanted:
             connection.ahead.begin_excess()
             return None
-        if data := read_available(connection.sock, room):
+        if data := read_available(connection.sock, readable or EXCESS_READ_BYTES):
             connection.ahead.feed(data)
+        connection.hold_ahead()
         return data
 
+    def stop_reading_ahead(self, connection: ApplicationConnection) -> None:
+        """Drops further input for want of memory. It is read all the same, as the end comes behind it."""
+        self.counts["stopped_ahead"] += 1
+        reason = RequestError(
+            MEMORY_REFUSAL_STATUS, "there is no memory for requests sent ahead; a retry is harmless"
+        )
+        connection.ahead.stop(reason)
+
     def refuse_excess(self, connection: ApplicationConnection) -> Generator[Wait, int, bool]:
         """Refuses what the client has sent beyond the limit, unless requests within it come first; false if
         the connection is to be closed. Raises `RequestError` and `OSError`."""
--- a/tests/faults/test_clients_that_send_ahead.py
+++ b/tests/faults/test_clients_that_send_ahead.py
@@ -21,6 +21,7 @@
 from maddercart.sidecar.applications import ApplicationServer
 from maddercart.sidecar.decisions import BalancerDriver
 from maddercart.sidecar.dispatches import Dispatcher
+from maddercart.sidecar.memory import MemoryLedger
 from maddercart.sidecar.request_reader import RequestReader
 from tests.gateway.harness import LISTENER, SERVER, GatewayHarness
 from tests.gateway.test_gateway import pool, route
@@ -116,8 +117,10 @@
     clock = iter([*instants, SECOND - RequestReader.REFUSAL_MARGIN_NS]).__next__
     with socket.socketpair()[0] as sock:
         sock.setblocking(False)
-        reader = RequestReader(Loop(lambda: 0), clock, lambda *_: None, Counter())
-        reading = reader.read_until_known(ApplicationConnection(sock, 0), deadline=SECOND)
+        reader = RequestReader(Loop(lambda: 0), clock, lambda *_: None, Counter(), lambda: None)
+        reading = reader.read_until_known(
+            ApplicationConnection(sock, 0, MemoryLedger(1 << 20)), deadline=SECOND
+        )
         for _ in instants:
             assert next(reading) == NEXT_TURN
         with pytest.raises(StopIteration) as refused:
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -22,6 +22,7 @@
 from maddercart.sidecar.application_connection import EVICTABLE_AFTER_NS, PHASE_TIMEOUTS_NS, Phase
 from maddercart.sidecar.clock import MonotonicClock
 from maddercart.sidecar.endings import OUTCOME_BY_ENDING, Ending, ending_of_status
+from maddercart.sidecar.memory import MemoryUse
 from maddercart.sidecar.start_times import StartTimes, reference_stamp_ms
 from maddercart.sidecar.upstreams import upstream_number
 from tests.helpers import MS, SidecarHarness, http_response, list_line, request, sidecar_config
@@ -102,14 +103,15 @@
             with suppress(OSError):
                 upstream.sendall(http_response(body=body + "end"))
 
-        for max_body_bytes, status in ((harness.node.dispatcher.max_body_bytes, b"200"), (100_000, b"502")):
-            harness.node.dispatcher.max_body_bytes = max_body_bytes
+        ledger = harness.node.ledger
+        for limit_bytes, status in ((ledger.limit_bytes, b"200"), (100_000, b"502")):
+            ledger.limit_bytes = limit_bytes
             harness.read(upstream)
             upstream.settimeout(5)
             sender = threading.Thread(target=send_answer)
             sender.start()
             got = harness.read(client, b"end" if status == b"200" else b"\r\n\r\n")
-            assert got.split(b" ", 2)[1] == status and not harness.node.dispatcher.body_bytes
+            assert got.split(b" ", 2)[1] == status and not ledger.held[MemoryUse.ANSWERS]
             sender.join()
             client.sendall(request("post"))
 
