Answers go out first, and clients that sent much at once come after the others

Callers saw: while hundreds of clients sent much ahead, or heads and chunks in thousands of pieces, usual clients were answered 0.5 s after their time or later; some bad clients got their error late.

Cause: all connections of the application have one rank. A client with hundreds of requests had as many turns as one with a single request, and an answer that was ready waited for a turn among them.

Change: a connection whose answer is ready is resumed before further requests are handled. One with input behind the request in hand, or more to parse of one, has the rank RANK_BACKLOG, which comes last; a quarter of a turn's resumptions is left to it.

--- a/maddercart/net/loop.py
+++ b/maddercart/net/loop.py
@@ -25,14 +25,19 @@
 # response may be late.
 LATE_TIMER_NS = 50 * MILLISECOND
 
+NEVER = 1 << 62  # later than any time of a clock
+
 # Reasons for resuming a coroutine other than epoll events, which are greater than zero.
 DEADLINE_PASSED = 0
 WOKEN = -1
 
-# Ranks, which order the coroutines of a turn: those that finish work run before those that start more.
-RANK_FIRST, RANK_SOON, RANK_LAST = 0, 1, 2
-# Coroutines of RANK_LAST resumed in a turn, by number and by time; each handles at most one request.
+# Ranks, which order the coroutines of a turn: those that finish work run before those that start more, and
+# those of peers that have sent much at once come last.
+RANK_FIRST, RANK_SOON, RANK_LAST, RANK_BACKLOG = 0, 1, 2, 3
+# Coroutines of the last two ranks resumed in a turn, by number and by time; each handles at most one request.
 MAX_LAST_RESUMPTIONS, MAX_LAST_NS = 64, 10 * MILLISECOND
+# Of these, what RANK_LAST leaves to RANK_BACKLOG, which goes on while others come without end.
+BACKLOG_RESUMPTIONS, BACKLOG_NS = 16, 3 * MILLISECOND
 
 
 class Wait(NamedTuple):
@@ -64,6 +69,23 @@
 Coroutine = Generator[Wait, int, None]
 
 
+class TurnBudget:
+    """How many coroutines of a rank a turn may still resume, and until when (nanoseconds)."""
+
+    __slots__ = ("duration_ns", "ends_at", "left")
+
+    def __init__(self, resumptions: int, duration_ns: int) -> None:
+        self.left, self.duration_ns, self.ends_at = resumptions, duration_ns, NEVER
+
+    def take(self, now: int) -> bool:
+        """Whether one more may be resumed; the time counts from the first."""
+        self.ends_at = min(self.ends_at, now + self.duration_ns)
+        if not self.left or now >= self.ends_at:
+            return False
+        self.left -= 1
+        return True
+
+
 class Task:
     """A coroutine that the loop runs; `finished` is true once it has ended."""
 
@@ -82,9 +104,6 @@
         return self.coroutine is None
 
 
-NEVER = 1 << 62  # later than any time of a clock
-
-
 class Loop:
     MIN_CLEANUP_TIMERS = 1024  # number of timers up to which those of ended tasks are not removed
 
@@ -290,24 +309,31 @@
             self.due[task] = DueResumption(resumptions, reason, self.events_since)
 
     def resume_due(self) -> None:
-        """Resumes the coroutines that are due by rank; of the last rank only some, the longest due first."""
+        """Resumes the coroutines that are due by rank; of the last ranks only some, the longest due first."""
         due, self.due = self.due, {}
-        turn_since, resumed, last_began_at = self.events_since, 0, NEVER
+        turn_since = self.events_since
+        both = TurnBudget(MAX_LAST_RESUMPTIONS, MAX_LAST_NS)
+        last = both
+        if any(task.rank == RANK_BACKLOG for task in due):
+            last = TurnBudget(MAX_LAST_RESUMPTIONS - BACKLOG_RESUMPTIONS, MAX_LAST_NS - BACKLOG_NS)
         for task in sorted(due, key=rank):
             noted = due[task]
             if task.coroutine is None or task.resumptions != noted.resumptions:
                 continue
-            if task.rank == RANK_LAST:
-                now = self.clock()
-                last_began_at = min(last_began_at, now)
-                if resumed == MAX_LAST_RESUMPTIONS or now - last_began_at >= MAX_LAST_NS:
-                    self.due[task] = noted
-                    continue
-                resumed += 1
+            if task.rank >= RANK_LAST and not self.has_turn(task, last, both):
+                self.due[task] = noted
+                continue
             self.events_since = noted.since
             self.resume(task, noted.reason)
         self.events_since = turn_since
 
+    def has_turn(self, task: Task, last: TurnBudget, both: TurnBudget) -> bool:
+        """Whether a task of the last ranks is resumed in this turn."""
+        now = self.clock()
+        if task.rank == RANK_LAST and last is not both and not last.take(now):
+            return False
+        return both.take(now)
+
     def run_timers(self) -> None:
         now = self.clock()
         if self.timers and now - self.timers[0][0] > LATE_TIMER_NS:
--- a/maddercart/sidecar/application_connection.py
+++ b/maddercart/sidecar/application_connection.py
@@ -7,7 +7,7 @@
 from maddercart.http.server import Request, ServerProtocol
 from maddercart.interface import SECOND
 from maddercart.messages.responses import ClientResponse
-from maddercart.net.loop import Task
+from maddercart.net.loop import RANK_BACKLOG, RANK_LAST, Task
 from maddercart.net.sockets import PeerState, peer_state
 from maddercart.sidecar.decisions import BalancerDriver
 from maddercart.sidecar.memory import (
@@ -87,6 +87,12 @@
         """Whether there is no received data that was not read yet."""
         return peer_state(self.sock) != PeerState.UNREAD
 
+    def rank_by_backlog(self, more_to_parse: bool = False) -> None:
+        """Ranks the connection's task behind those of clients that have sent one request at a time, while
+        input lies behind the request in hand, or there is `more_to_parse` of one."""
+        if self.task is not None:
+            self.task.rank = RANK_BACKLOG if more_to_parse or self.ahead.pending else RANK_LAST
+
     def hold_part(self, protocol: ServerProtocol) -> None:
         """Accounts for a request that has been received in part."""
         held = protocol.unparsed_bytes + BODY_COPIES * protocol.body_bytes + head_bytes(protocol.head_fields)
--- a/maddercart/sidecar/applications.py
+++ b/maddercart/sidecar/applications.py
@@ -12,6 +12,7 @@
 from maddercart.net.loop import (
     DEADLINE_PASSED,
     NEXT_TURN,
+    RANK_SOON,
     READ,
     Coroutine,
     Loop,
@@ -195,6 +196,7 @@
     def answer_next(self, connection: ApplicationConnection) -> Generator[Wait, int, bool]:
         """Reads and answers one request; false if the connection is to be closed. Raises `RequestError` and
         `OSError`."""
+        connection.rank_by_backlog()
         if not (yield from self.reader.refuse_excess(connection)):
             return False
         sent_ahead = connection.ahead.pending
@@ -229,6 +231,7 @@
             return False
         connection.hold_answer(0)
         connection.hold_ahead()
+        connection.rank_by_backlog()
         if has_more:
             self.enter_phase(connection, Phase.BUSY)
             yield NEXT_TURN
@@ -291,6 +294,7 @@
         def on_reply(reply: ClientResponse) -> None:
             connection.reply, connection.query_number = reply, 0
             if connection.waiting and connection.task is not None:
+                connection.task.rank = RANK_SOON  # answers go out before further requests are handled
                 self.loop.wake(connection.task)
 
         number = opened.driver.take_query(opened.query, on_reply, lambda: peer_state(connection.sock))
--- a/maddercart/sidecar/request_reader.py
+++ b/maddercart/sidecar/request_reader.py
@@ -40,6 +40,7 @@
             connection.hold_part(protocol)
             if protocol.unfinished:
                 self.enter_read_phase(connection, protocol)
+                connection.rank_by_backlog(more_to_parse=True)
                 yield NEXT_TURN
                 continue
             if protocol.closing or not (
@@ -155,6 +156,7 @@
         if data := read_available(connection.sock, readable or EXCESS_READ_BYTES):
             connection.ahead.feed(data)
         connection.hold_ahead()
+        connection.rank_by_backlog()
         return data
 
     def stop_reading_ahead(self, connection: ApplicationConnection) -> None:
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -3,6 +3,7 @@
 
 import contextlib
 import json
+import select
 import socket
 from collections.abc import Callable, Iterator
 from pathlib import Path
@@ -306,3 +307,42 @@
         counting.loop.run_once()
         assert len(counting.delays) == turn * MAX_LAST_RESUMPTIONS, "none twice, none left out"
     assert counting.delays[-1] >= 2000 and counting.delays == sorted(counting.delays)
+
+
+def test_peers_that_sent_much_come_behind_those_with_one_request_and_go_on_all_the_same() -> None:
+    """Clients with hundreds of requests had a turn for each, and usual ones were answered too late."""
+    loop, order = Loop(lambda: 0), [""]
+
+    def work(name: str) -> Coroutine:
+        while True:
+            yield loops.NEXT_TURN
+            order[-1] += name
+
+    for _ in range(2 * MAX_LAST_RESUMPTIONS):
+        loop.spawn(work("b"), loops.RANK_BACKLOG)
+    loop.spawn(work("u"))
+    loop.run_once()
+    assert order[-1] == "u" + "b" * (MAX_LAST_RESUMPTIONS - 1)
+    for _ in range(2 * MAX_LAST_RESUMPTIONS):
+        loop.spawn(work("u"))
+    order.append("")
+    loop.run_once()
+    assert order[-1].count("b") == loops.BACKLOG_RESUMPTIONS and order[-1].startswith("u")
+
+
+def test_an_answer_goes_out_before_further_requests_are_handled(
+    harness: SidecarHarness, handled: TurnCounts, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It waited for a turn among hundreds of clients that sent more."""
+    monkeypatch.setattr(loops, "MAX_LAST_NS", loops.NEVER)  # a busy machine must not count
+    usual = harness.send_request()
+    harness.read(upstream := harness.accept())
+    bad = [harness.client() for _ in range(2 * MAX_LAST_RESUMPTIONS)]
+    harness.run_until(lambda: len(harness.node.applications.connections) > len(bad))
+    for client in bad:
+        client.sendall(UNKNOWN * 20)
+    harness.run_until(lambda: sum(handled.by_turn) > len(bad))
+    upstream.sendall(http_response())
+    harness.run_until(lambda: harness.node.driver.counts["done"])
+    harness.node.loop.run_once()
+    assert select.select([usual], [], [], 0)[0]
