Ids of unsafe and keyed requests outlive their client, while an attempt may have run

Cause: the only record of an id was the set of those being answered. It went with the client, while the attempt could still run.

An unsafe one is answered 502 at once; a keyed one goes only inside its group and window, as a repeat. An earlier attempt that surely never ran is none. In the gateway the id is X-Request-Id with method, target and body, on irreversible routes and unsafe methods; one that is held is answered 409 there too.

--- a/maddercart/gateway/front.py
+++ b/maddercart/gateway/front.py
@@ -18,7 +18,7 @@
 from maddercart.http.server import Request
 from maddercart.interface import MILLISECOND, SECOND
 from maddercart.messages.headers import Headers, forwarded_headers
-from maddercart.messages.query import Query
+from maddercart.messages.query import Query, query_identity
 from maddercart.messages.responses import ClientResponse
 from maddercart.sidecar.request_handlers import AcceptedQuery, RejectedRequest
 
@@ -27,6 +27,8 @@
 REQUEST_ID_HEADER, FORWARDED_FOR_HEADER = b"x-request-id", b"x-forwarded-for"
 REPLACED_HEADERS = frozenset({b"host", FORWARDED_FOR_HEADER})  # rewritten for the upstream, not copied
 MAX_REQUEST_ID_BYTES = 128
+IRREVERSIBLE_EFFECT = "irreversible"  # of a route: its requests must not run twice
+SAFE_METHODS = frozenset({b"GET", b"HEAD", b"OPTIONS", b"TRACE"})  # RFC 9110, section 9.2.1
 
 
 @dataclass(slots=True)
@@ -85,6 +87,7 @@
         self.pools: dict[str, ActivePool] = {}
         self.table = RouteTable([])
         self.log_config = Log()
+        self.held_identities: set[int] = set()  # of held queries that must not run twice
 
     def reconfigure(self, routes: Sequence[Route], pools: dict[str, ActivePool], log_config: Log) -> None:
         """Switches to new routes within one turn of the loop; held queries keep the terms they came under."""
@@ -185,6 +188,12 @@
         """
         routing, route, now = self.routing, state.route, self.routing.clock()
         client = peer_address(sock)
+        request_ids = [value for name, value in request.headers if name.lower() == REQUEST_ID_HEADER]
+        identity = 0
+        if request_ids and route.effect == IRREVERSIBLE_EFFECT and request.method not in SAFE_METHODS:
+            identity = query_identity(request_ids[0], request.method, request.target, request.body)
+        if identity in routing.held_identities:
+            return RejectedRequest(409, "X-Request-Id is that of the same request, which is held")
         for limit, limiter in zip(route.limits, state.rate_limiters, strict=True):
             key = client if limit.key == "client" else ""
             if name := limit.key.partition("header:")[2]:
@@ -201,7 +210,6 @@
         granted_retries = route.dispatches - 1
         if active_pool.retry_limiter is not None:
             granted_retries = active_pool.retry_limiter.grant(granted_retries)
-        request_ids = [value for name, value in request.headers if name.lower() == REQUEST_ID_HEADER]
         trace = request_ids[0][:MAX_REQUEST_ID_BYTES] if request_ids else b"%016x" % routing.random_bits(64)
         query = GatewayQuery(
             request.method, request_target.target.encode(),
@@ -209,7 +217,10 @@
             request.body, active_pool.offering_numbers[route.name], seconds_to_ns(route.stop), trace,
             1 + granted_retries, on_end=self.end_callback(state, active_pool), route=route.name,
             pool=active_pool.config.name, client=client, granted_retries=granted_retries, accepted_at=now,
+            identity=identity,
         )  # fmt: skip
+        if identity:
+            routing.held_identities.add(identity)
         return AcceptedQuery(query, active_pool.driver)
 
     def upstream_headers(
@@ -249,6 +260,7 @@
 
         def on_end(query: GatewayQuery, dispatches: int, ending: str) -> None:
             now = self.routing.clock()
+            self.routing.held_identities.discard(query.identity)
             state.concurrency_limiter.release(query.client)
             if active_pool.retry_limiter is not None:
                 active_pool.retry_limiter.refund(max(0, query.granted_retries - max(0, dispatches - 1)))
--- a/maddercart/messages/query.py
+++ b/maddercart/messages/query.py
@@ -3,6 +3,7 @@
 import re
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
+from hashlib import blake2b
 from urllib.parse import unquote
 
 from maddercart.messages.headers import Headers, forwarded_headers
@@ -11,6 +12,7 @@
 EXPIRES_IN_UNITS_NS = {"m": 1_000_000, "u": 1_000}
 EXPIRES_IN_PATTERN = re.compile(rb"([0-9]{1,12}(?:\.[0-9]{1,6})?)([mu])")
 REWRITTEN_HEADERS = frozenset({b"x-expires-in"})  # written again for each dispatch
+IDENTITY_BYTES = 8
 # These must not occur twice, since it would be ambiguous which value applies.
 UNIQUE_HEADERS = frozenset({b"x-trace-id", b"x-qos", b"x-expires-in", b"idempotency-key"})
 
@@ -30,7 +32,7 @@
     `headers` are those that are forwarded unchanged. `offering` is an index into the settings' offerings.
     `remaining` is the time in nanoseconds for which the client waits. `trace_id` is the id of the query, the
     same on all hops. `max_dispatches` is the maximum number of dispatches; 0 allows as many as the settings
-    do.
+    do. `identity` is the same for a query that comes again; 0 if that can't be known.
     """
 
     method: bytes
@@ -41,6 +43,7 @@
     remaining: int
     trace_id: bytes
     max_dispatches: int = 0
+    identity: int = 0
 
     def on_finished(self, dispatches: int, ending: str) -> None:
         """Called once the query has its final response or its client has disconnected.
@@ -57,6 +60,15 @@
         return [*self.headers, (b"X-Expires-In", b"%du" % max(1, timeout // 1_000)), *length_headers]
 
 
+def query_identity(*parts: bytes) -> int:
+    """An identity from what is the same whenever a query comes again."""
+    digest = blake2b(digest_size=IDENTITY_BYTES)
+    for part in parts:
+        digest.update(b"%d:" % len(part))
+        digest.update(part)
+    return int.from_bytes(digest.digest(), "big")
+
+
 def has_duplicate_header(headers: Sequence[tuple[bytes, bytes]]) -> bool:
     names = [name for name, _ in headers if name.lower() in UNIQUE_HEADERS]
     return len({name.lower() for name in names}) < len(names)
@@ -88,5 +100,6 @@
     if remaining <= 0:
         raise InvalidQuery(408, "its time is already up")
     return Query(
-        method, target, forwarded_headers(headers, REWRITTEN_HEADERS), body, offering, remaining, trace
-    )
+        method, target, forwarded_headers(headers, REWRITTEN_HEADERS), body, offering, remaining, trace,
+        identity=query_identity(trace),
+    )  # fmt: skip
--- a/maddercart/policy/balancer.py
+++ b/maddercart/policy/balancer.py
@@ -32,6 +32,7 @@
 from maddercart.policy.picker import Picker
 from maddercart.policy.queries import HeldQueries, PlacementQueue, Query
 from maddercart.policy.quotas import Quotas
+from maddercart.policy.recent_attempts import RecentAttempts
 from maddercart.policy.registry import Registry
 from maddercart.policy.upstream import Upstream
 from maddercart.policy.zone_group import ZoneGroup
@@ -73,6 +74,7 @@
             HeldQueries(),
             PlacementQueue(),
         )
+        self.recent_attempts = RecentAttempts()
         self.health, self.group = Health(random), ZoneGroup(place, random)
         self.picker, self.arrival_times = (
             Picker(random),
@@ -125,7 +127,8 @@
             self.follow_at = now if permits.subscribes else self.NEVER
         for query in self.held.by_number.values():
             query.terms = query.terms.renumbered(zones, kinds)
-        tried = {id(upstream): upstream for q in self.held.by_number.values() for upstream, _ in q.attempts}
+        held = [upstream for q in self.held.by_number.values() for upstream, _ in (*q.attempts, *q.earlier)]
+        tried = {id(upstream): upstream for upstream in (*held, *self.recent_attempts.upstreams())}
         for upstream in tried.values():
             if self.registry.by_id.get(upstream.entry.upstream) is not upstream:
                 upstream.renumber(zones, kinds)
@@ -156,12 +159,12 @@
 
     def take_query(
         self, now: int, query: int, offering: int, remaining_ns: int, waited_ns: int = 0, tenant: int = -1,
-        is_retry: bool = False, max_dispatches: int = 0,
+        is_retry: bool = False, max_dispatches: int = 0, identity: int = 0,
     ) -> None:  # fmt: skip
         """Takes a new query; `waited_ns` of `remaining_ns` has already passed.
 
         `tenant` is -1 if the tenant is unknown; `max_dispatches` limits the dispatches (0: only the settings
-        do).
+        do). `identity` is the same for a query that comes again; 0 if that can't be known.
         """
         # Its answer will wait for the host as long as the query did.
         terms, budget = self.offerings[offering], self.latency_budgets[offering] - waited_ns
@@ -172,7 +175,10 @@
             arrived_at + min(remaining_ns, terms.agreed_time_ns),
             arrived_at + remaining_ns,
         )
-        self.queue.add(Query(query, terms, budget, hard_stop_at, agreed_at, max_dispatches, quota_wait))
+        self.queue.add(Query(
+            query, terms, budget, hard_stop_at, agreed_at, max_dispatches, quota_wait,
+            identity=identity, earlier=self.recent_attempts.recall(identity),
+        ))  # fmt: skip
         self.held.by_number[query] = self.queue.new[-1]
         self.arrival_times.append(now)
 
@@ -310,6 +316,7 @@
         if not query.ended and self.permits.may_cancel:
             self.pending.extend(("cancel", query.number, attempt) for attempt in query.in_flight)
         query.ended = True
+        self.recent_attempts.remember(query)
         if not query.in_flight:
             self.held.by_number.pop(query.number, None)
 
@@ -377,7 +384,7 @@
         if not self.held.may_dispatch(now, query):
             return self.answer(now, query, 0)
         may_be_canary = query.terms.effect == self.canary_effect and not (
-            self.permits.may_probe or query.attempts
+            self.permits.may_probe or query.attempts or query.earlier
         )
         if may_be_canary and (canary := self.next_canary(now, query.terms)) is not None:
             query.is_canary = True
@@ -443,7 +450,7 @@
         """The upstreams of a zone that may get a query: warm ones, and at most one cold one in its budget."""
         ready = self.registry.subset(now, zone, self.latency.arrival_times, single)
         cold = [upstream for upstream in self.registry.cold[zone] if self.allows(now, upstream)]
-        if query.attempts or query.terms.restricted:
+        if query.attempts or query.earlier or query.terms.restricted:
             permitted = [
                 upstream
                 for upstream in self.registry.warm[zone] + cold
--- a/maddercart/policy/queries.py
+++ b/maddercart/policy/queries.py
@@ -14,6 +14,7 @@
     `latency_budget` is the longest expected latency with which it is dispatched, `hard_stop_at` and
     `agreed_at` are instants, `quota_wait` is the time until its tenant's quota allows it (0: it does).
     Attempts are numbered by their index in `attempts`; `suspects` are those that ended and may have run.
+    `earlier` are attempts of queries that came before under the same `identity` and may have run.
     """
 
     number: int
@@ -28,6 +29,13 @@
     suspects: set[int] = field(default_factory=set)
     is_canary: bool = False  # its first dispatch is a canary
     ended: bool = False  # it has its final answer, or its client has left
+    identity: int = 0  # 0: it has none
+    earlier: tuple[tuple[Upstream, int], ...] = ()  # (upstream, sent at), the first one first
+
+    def first_run_at(self, suspects: set[int]) -> int | None:
+        """When the first attempt was sent that may have run, `suspects` among them; None if there is none."""
+        sent_at = [self.attempts[number][1] for number in suspects]
+        return min([*sent_at, *(at for _, at in self.earlier)], default=None)
 
 
 class HeldQueries:
@@ -51,9 +59,10 @@
             or len(query.attempts) - uncounted >= query.max_dispatches
         ):
             return False
-        if suspects and query.terms.effect == LABELLED:
-            return now - query.attempts[min(suspects)][1] < query.terms.deduplication_window_ns
-        return not suspects or query.terms.effect == REDOABLE
+        first_run_at = query.first_run_at(suspects)
+        if first_run_at is not None and query.terms.effect == LABELLED:
+            return now - first_run_at < query.terms.deduplication_window_ns
+        return first_run_at is None or query.terms.effect == REDOABLE
 
     def may_go_to(self, query: Query, upstream: Upstream) -> bool:
         """Whether an upstream may get a query: not twice, and a repeat stays in its deduplication scope."""
@@ -63,12 +72,17 @@
             return True
         scope = "zone" if query.terms.deduplication_scope == SAME_ZONE else "cell"
         suspects = [query.attempts[attempt][0].entry for attempt in query.suspects]
+        suspects += [tried.entry for tried, _ in query.earlier]
         return all(getattr(entry, scope) == getattr(upstream.entry, scope) for entry in suspects)
 
     def may_bounce(self, query: Query) -> bool:
         """Whether a retry by the client is harmless, so that the query may be bounced rather than aborted."""
         deduplicated = query.terms.effect == LABELLED and query.terms.deduplication_scope == EVERYWHERE
-        return deduplicated or query.terms.effect == REDOABLE or not (query.in_flight or query.suspects)
+        return (
+            deduplicated
+            or query.terms.effect == REDOABLE
+            or not (query.in_flight or query.suspects or query.earlier)
+        )
 
 
 class PlacementQueue:
--- a/maddercart/sidecar/decisions.py
+++ b/maddercart/sidecar/decisions.py
@@ -85,8 +85,9 @@
         self.held[number] = HeldQuery(query, send_reply, now, client_state)
         lag = self.loop.max_event_delay()
         self.balancer.take_query(
-            now, number, query.offering, query.remaining, lag, max_dispatches=query.max_dispatches
-        )
+            now, number, query.offering, query.remaining, lag, max_dispatches=query.max_dispatches,
+            identity=query.identity,
+        )  # fmt: skip
         self.pull_decisions()
         return number
 
--- a/tests/faults/test_disconnects_and_shutdown.py
+++ b/tests/faults/test_disconnects_and_shutdown.py
@@ -7,8 +7,10 @@
 
 import pytest
 
+from maddercart import interface as i
+from maddercart.policy.recent_attempts import MAX_REMEMBERED
 from maddercart.sidecar.dispatches import Dispatcher
-from tests.helpers import MS, SidecarHarness
+from tests.helpers import MS, BalancerHarness, SidecarHarness, entry, offering
 from tests.test_turns import TurnCounts
 
 
@@ -96,3 +98,45 @@
             harness.run_until(lambda: harness.node.applications.connections)
         assert harness.response_status(client) == 502, "it may have run"
         assert sum(attempts.by_turn) == 1
+
+
+@pytest.mark.parametrize(
+    ("effect", "scope", "after", "sent_to"),
+    [(i.LABELLED, i.SAME_ZONE, i.SECOND // 2, {10, 11}), (i.LABELLED, i.SAME_ZONE, 2 * i.SECOND, set()),
+     (i.LABELLED, i.EVERYWHERE, i.SECOND // 2, {10, 11, 20, 21}), (i.IRREVERSIBLE, i.SAME_ZONE, 0, set())],
+)  # fmt: skip
+@pytest.mark.parametrize("ending", ["left", "done", "unsent"])
+def test_a_query_that_comes_again_goes_where_its_repeats_are_dropped_within_the_window(
+    effect: int, scope: int, after: int, sent_to: set[int], ending: str
+) -> None:
+    """A key came again and went to upstreams that did not know of it."""
+    everywhere = {10, 11, 20, 21}
+    reached = set()
+    for seed in range(8):
+        entries = [entry(10, 0), entry(11, 0), entry(20, 1), entry(21, 1)]
+        harness = BalancerHarness(entries, seed=seed + 1, offerings=[offering(effect, scope)])
+        harness.balancer.take_query(harness.now, 1, 0, i.SECOND, identity=7)
+        (upstream,) = [decision[2] for decision in harness.pull_decisions() if decision[0] == "dispatch"]
+        if ending == "left":
+            harness.balancer.client_left(harness.now, 1)
+        else:
+            harness.end_dispatch(1, 0, i.DONE if ending == "done" else i.NOT_WRITTEN, ended=True)
+        harness.advance(after)
+        # The zone in which the first attempt ran is gone, or full, or as before.
+        lost = [entry(number, condition=i.GONE) for number in (10, 11)] if seed % 2 else []
+        harness.balancer.update_list(harness.now, lost, False)
+        harness.balancer.take_query(harness.now, 2, 0, i.SECOND, identity=7)
+        assert upstream in (10, 11)
+        reached |= {decision[2] for decision in harness.pull_decisions() if decision[0] == "dispatch"}
+    assert reached <= (everywhere if ending == "unsent" else sent_to)
+    assert bool(reached) == bool(everywhere if ending == "unsent" else sent_to)
+
+
+def test_what_is_remembered_of_queries_is_bounded() -> None:
+    harness = BalancerHarness([entry(10)], offerings=[offering(i.IRREVERSIBLE)])
+    for number in range(1, MAX_REMEMBERED + 100):
+        harness.balancer.take_query(harness.now, number, 0, i.SECOND, identity=number)
+        harness.pull_decisions()
+        harness.end_dispatch(number, 0, i.DONE)
+        harness.advance(MS)
+    assert len(harness.balancer.recent_attempts.by_identity) == MAX_REMEMBERED
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -1,7 +1,9 @@
 """The gateway on real sockets, with fake upstreams and load generators in the same thread."""
 
 import os
+import select
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -420,3 +422,30 @@
     os.kill(pid, signal.SIGHUP)
     time.sleep(0.05)
 """
+
+
+def test_an_unsafe_request_that_comes_again_after_its_client_left_is_sent_once(
+    make_harness: MakeHarness,
+) -> None:
+    """Its id was forgotten with its client while the attempt could still run."""
+    harness = make_harness(StandInSettings(300.0, 0.0))
+    node = harness.open(one_pool_config(harness, PROBE, effect="irreversible"))
+    harness.run_until(node.is_ready)
+    driver = node.pools["p"].driver
+
+    def send() -> socket.socket:
+        client = socket.create_connection(("127.0.0.1", harness.port))
+        client.sendall(b"POST /pay HTTP/1.1\r\nHost: x\r\nX-Request-Id: unsafe\r\nContent-Length: 1\r\n\r\nx")
+        return client
+
+    def status(client: socket.socket) -> bytes:
+        harness.run_until(lambda: select.select([client], [], [], 0)[0])
+        return client.recv(64).split()[1]
+
+    with send():
+        harness.run_until(lambda: driver.pending)
+        with send() as beside:
+            assert status(beside) == b"409"
+    harness.run_until(lambda: not driver.held)
+    with send() as again:
+        assert status(again) == b"502"
