Rate limits keep a digest of each key, and as many keys as memory has room for

Callers would see: a gateway over its memory limit while one client sends requests under ever new, long names.

A rate limit by header kept up to 100,000 keys as they came, each up to 16 KB, outside of any memory limit.

Change: keys are kept as digests of 8 bytes; a tenth of the ledger is what all rate limits may keep, and further keys share buckets as before.

Result: both unit tests fail on the code before (held bytes; no share).

--- a/maddercart/gateway/commands.py
+++ b/maddercart/gateway/commands.py
@@ -83,11 +83,12 @@
     from maddercart.gateway.front import Routing
     from maddercart.gateway.targets import BadTarget, parse_target
     from maddercart.http.server import Request
+    from maddercart.sidecar.memory import UNLIMITED_BYTES, MemoryLedger
 
     gateway_config = read_or_exit(file)
     headers = [tuple(part.strip().encode() for part in text.partition(":")[::2]) for text in header or []]
     hosts = [value for name, value in headers if name.lower() == b"host"]
-    routing = Routing(lambda: 0, 1)
+    routing = Routing(lambda: 0, 1, MemoryLedger(UNLIMITED_BYTES))
     routing.reconfigure(gateway_config.routes, {}, gateway_config.log)
     result: dict[str, Any] = {"method": method.upper(), "url": url}
     try:
--- a/maddercart/gateway/front.py
+++ b/maddercart/gateway/front.py
@@ -11,7 +11,7 @@
 from random import Random
 
 from maddercart.gateway.config import Log, Route
-from maddercart.gateway.limits import ConcurrencyLimiter, RateLimiter
+from maddercart.gateway.limits import KEY_BYTES, ConcurrencyLimiter, RateLimiter
 from maddercart.gateway.pools import ActivePool, seconds_to_ns
 from maddercart.gateway.routes import RouteLookup, RouteMatch, RouteTable
 from maddercart.gateway.targets import BadTarget, RequestTarget, parse_target
@@ -20,6 +20,7 @@
 from maddercart.messages.headers import Headers, forwarded_headers
 from maddercart.messages.query import Query, query_identity
 from maddercart.messages.responses import ClientResponse
+from maddercart.sidecar.memory import MemoryAccount, MemoryLedger, MemoryUse
 from maddercart.sidecar.request_handlers import AcceptedQuery, RejectedRequest
 
 log = logging.getLogger(__name__)
@@ -27,6 +28,7 @@
 REQUEST_ID_HEADER, FORWARDED_FOR_HEADER = b"x-request-id", b"x-forwarded-for"
 REPLACED_HEADERS = frozenset({b"host", FORWARDED_FOR_HEADER})  # rewritten for the upstream, not copied
 MAX_REQUEST_ID_BYTES = 128
+KEY_MEMORY_SHARE = 0.1  # of the memory ledger, for the keys of all rate limits
 IRREVERSIBLE_EFFECT = "irreversible"  # of a route: its requests must not run twice
 SAFE_METHODS = frozenset({b"GET", b"HEAD", b"OPTIONS", b"TRACE"})  # RFC 9110, section 9.2.1
 
@@ -62,23 +64,26 @@
     concurrency_limiter: ConcurrencyLimiter = field(default_factory=lambda: ConcurrencyLimiter(0, 1.0))
     rate_limiters: list[RateLimiter] = field(default_factory=list)  # in the order of `route.limits`
 
-    def reconfigure(self, route: Route) -> None:
+    def reconfigure(self, route: Route, max_keys: int) -> None:
+        """`max_keys`: how many keys memory has room for in each rate limit."""
         self.route = route
         self.concurrency_limiter.max_held, self.concurrency_limiter.fair_from = route.held, route.fair
         previous, self.rate_limiters = self.rate_limiters, []
         for n, limit in enumerate(route.limits):
+            keys = min(limit.keys, max_keys)
             if n < len(previous):
-                previous[n].configure(limit.rate, limit.burst, limit.keys)
+                previous[n].configure(limit.rate, limit.burst, keys)
             self.rate_limiters.append(
-                previous[n] if n < len(previous) else RateLimiter(limit.rate, limit.burst, limit.keys)
+                previous[n] if n < len(previous) else RateLimiter(limit.rate, limit.burst, keys)
             )
 
 
 class Routing:
     """The current routes and their limiters, shared by all listeners."""
 
-    def __init__(self, clock: Callable[[], int], seed: int) -> None:
-        self.clock = clock
+    def __init__(self, clock: Callable[[], int], seed: int, ledger: MemoryLedger) -> None:
+        self.clock, self.ledger = clock, ledger
+        self.account = MemoryAccount(ledger)
         generator = Random(seed)
         self.random, self.random_bits = generator.random, generator.getrandbits
         self.counts: Counter[str] = Counter()
@@ -93,7 +98,7 @@
         """Switches to new routes within one turn of the loop; held queries keep the terms they came under."""
         states = {route.name: self.states_by_name.get(route.name) or RouteState(route) for route in routes}
         for route in routes:
-            states[route.name].reconfigure(route)
+            states[route.name].reconfigure(route, self.max_keys(routes))
         self.states_by_name, self.pools, self.log_config = states, pools, log_config
         self.routes = [states[route.name] for route in routes]
         self.table = RouteTable(routes)
@@ -103,6 +108,16 @@
                                   if (key := limit.key.partition("header:")[2].lower())}  # fmt: skip
         self.cumulative_weights = [list(accumulate(target.weight for target in route.to)) for route in routes]
 
+    def max_keys(self, routes: Sequence[Route]) -> int:
+        """How many keys memory has room for in each rate limit."""
+        limits = sum(len(route.limits) for route in routes)
+        return max(1, int(KEY_MEMORY_SHARE * self.ledger.limit_bytes / KEY_BYTES / max(1, limits)))
+
+    def hold_keys(self) -> None:
+        """Accounts for the keys of all rate limits."""
+        keys = sum(len(limiter.full_at) for state in self.routes for limiter in state.rate_limiters)
+        self.account.hold(MemoryUse.KEYS, keys * KEY_BYTES)
+
     def find(
         self, listener: str, request: Request, request_target: RequestTarget
     ) -> tuple[RouteMatch, dict[str, list[str]]]:
--- a/maddercart/gateway/limits.py
+++ b/maddercart/gateway/limits.py
@@ -8,6 +8,12 @@
 
 from maddercart.interface import SECOND
 
+KEY_BYTES = 160  # that a key with a bucket of its own takes
+
+
+def key_digest(key: str) -> int:
+    return int.from_bytes(blake2b(key.encode("utf-8", "surrogateescape"), digest_size=8).digest(), "little")
+
 
 class RateLimiter:
     """A token bucket for each key, stored as the instant at which the bucket will be full again.
@@ -26,8 +32,9 @@
     def __init__(self, rate: float, burst: float, max_keys: int) -> None:
         """`rate` is in queries per second, `burst` in queries."""
         self.configure(rate, burst, max_keys)
-        self.full_at: dict[str, int] = {}  # by key: the instant at which its bucket will be full
-        self.expiry_queue: deque[str] = deque()  # keys in the order in which they are checked
+        # By digest of the key, which a client may make long: the instant at which its bucket will be full.
+        self.full_at: dict[int, int] = {}
+        self.expiry_queue: deque[int] = deque()  # digests in the order in which they are checked
         self.shared_full_at: list[int] = []  # by bucket number; empty until first used
 
     def configure(self, rate: float, burst: float, max_keys: int) -> None:
@@ -42,27 +49,24 @@
     def admit(self, now: int, key: str) -> int:
         """Returns 0 and counts the query if it is admitted, else the nanoseconds until one would be."""
         self.expire_keys(now)
-        full_at = self.full_at.get(key)
+        digest = key_digest(key)
+        full_at = self.full_at.get(digest)
         if full_at is None and len(self.full_at) >= self.max_keys:
-            return self.admit_shared(now, key)
+            return self.admit_shared(now, digest)
         if delay := self.delay_until_token(now, full_at or 0):
             return delay
         if full_at is None:
-            self.expiry_queue.append(key)
-        self.full_at[key] = max(now, full_at or 0) + self.token_interval
+            self.expiry_queue.append(digest)
+        self.full_at[digest] = max(now, full_at or 0) + self.token_interval
         return 0
 
     def delay_until_token(self, now: int, full_at: int) -> int:
         return max(0, full_at + self.token_interval - self.refill_time - now)
 
-    def admit_shared(self, now: int, key: str) -> int:
+    def admit_shared(self, now: int, digest: int) -> int:
         """Like `admit`, for a key without a bucket of its own."""
         self.shared_full_at = self.shared_full_at or [0] * self.SHARED_BUCKETS
-        digest = blake2b(key.encode("utf-8", "surrogateescape"), digest_size=8).digest()
-        buckets = (
-            int.from_bytes(digest[:4], "little") % self.SHARED_BUCKETS,
-            int.from_bytes(digest[4:], "little") % self.SHARED_BUCKETS,
-        )
+        buckets = (digest % self.SHARED_BUCKETS, (digest >> 32) % self.SHARED_BUCKETS)
         full_at = min(self.shared_full_at[bucket] for bucket in buckets)
         if delay := self.delay_until_token(now, full_at):
             return delay
@@ -75,11 +79,11 @@
     def expire_keys(self, now: int) -> None:
         """Checks the next few keys and removes those whose bucket is full."""
         for _ in range(min(self.EXPIRY_CHECKS, len(self.expiry_queue))):
-            key = self.expiry_queue.popleft()
-            if self.full_at[key] <= now:
-                del self.full_at[key]
+            digest = self.expiry_queue.popleft()
+            if self.full_at[digest] <= now:
+                del self.full_at[digest]
             else:
-                self.expiry_queue.append(key)
+                self.expiry_queue.append(digest)
 
 
 class ConcurrencyLimiter:
--- a/maddercart/gateway/node.py
+++ b/maddercart/gateway/node.py
@@ -55,7 +55,7 @@
         self.seed = self.config.process.seed or secrets.randbits(63)
         self.own_bytes = DEFAULT_OWN_BYTES  # of the program alone
         self.ledger = MemoryLedger(ledger_limit(self.config.process.memory_mb, self.own_bytes))
-        self.routing = Routing(self.clock, self.seed)
+        self.routing = Routing(self.clock, self.seed, self.ledger)
         self.pools: dict[str, ActivePool] = {}  # by pool name
         # Pools that the current configuration no longer has, but that still hold queries or dispatches.
         self.draining_pools: list[ActivePool] = []
@@ -249,6 +249,7 @@
         """Periodically logs counters, per pool and for routing, and closes drained pools."""
         while True:
             yield Wait(deadline=self.clock() + min(COUNTS_INTERVAL_NS, SECOND))
+            self.routing.hold_keys()
             for active_pool in [drained for drained in self.draining_pools if drained.is_idle()]:
                 self.draining_pools.remove(active_pool)
                 active_pool.close()
--- a/maddercart/rig/commands.py
+++ b/maddercart/rig/commands.py
@@ -196,6 +196,9 @@
     memory_mb: Annotated[int, typer.Option(min=1, help="limit of the process")] = 32,
     descriptors: Annotated[int, typer.Option(min=64, help="limit; clients take a third of them")] = 1024,
     seconds: Annotated[float, typer.Option(min=1, max=3600)] = 60.0,
+    clients: Annotated[
+        int | None, typer.Option(min=1, help="instead of a third of the descriptors")
+    ] = None,
     gateway: Annotated[bool, typer.Option("--gateway", help="a gateway in place of a sidecar")] = False,
     log: Annotated[bool, typer.Option("--log", help="print the log of the process")] = False,
 ) -> None:  # fmt: skip
@@ -209,7 +212,9 @@
     except ValueError as error:
         typer.echo(f"{error}; shapes: {', '.join(each.value for each in Shape)}", err=True)
         raise typer.Exit(EXIT_USAGE) from error
-    result = run_memory(MemoryRunSettings(shapes, memory_mb, descriptors, seconds, is_gateway=gateway))
+    result = run_memory(
+        MemoryRunSettings(shapes, memory_mb, descriptors, seconds, is_gateway=gateway, clients=clients)
+    )
     violations = result.violations(memory_mb)
     names = ",".join(each.value for each in shapes) if len(shapes) < len(Shape) else "all"
     kind = "gateway" if gateway else "sidecar"
--- a/maddercart/rig/processes/memory_clients.py
+++ b/maddercart/rig/processes/memory_clients.py
@@ -39,6 +39,8 @@
     CHUNKED_BODY = "chunked_body"  # half of the largest body, in chunks of one byte
     LARGE_AHEAD = "large_ahead"  # hundreds of requests with the largest body at once
     SMALL_AHEAD = "small_ahead"  # requests of a class that does not exist, without pause
+    NEW_NAMES = "new_names"  # the same, each with a class, an id, a query and a field of its own
+    UNSOUND = "unsound"  # what is no request, again as soon as it is turned away
     PART_AHEAD = (
         "part_ahead"  # a request, many whole ones behind it, and the head of one more without its end
     )
@@ -159,6 +161,19 @@
         while True:
             await self.write(writer, requests)
 
+    async def send_new_names(self, writer: asyncio.StreamWriter) -> None:
+        while True:
+            numbers = [next(TRACE_NUMBERS) for _ in range(100)]
+            requests = [
+                encode_request(f"/n{n}?sid={n}", fields=f"X-{n}: {n}\r\nX-Qos: {n}\r\n") for n in numbers
+            ]
+            await self.write(writer, b"".join(requests))
+
+    async def send_unsound(self, writer: asyncio.StreamWriter) -> None:
+        await self.write(
+            writer, b"GET /look HTTP/1.1\r\nHost: x\r\nX-Expires-In: soon\r\n\r\n" * 50 + b"?\r\n\r\n"
+        )
+
     async def send_part_ahead(self, writer: asyncio.StreamWriter) -> None:
         whole = b"".join(encode_request(self.path) for _ in range(400))
         await self.write(writer, whole + encode_request(self.path, fields=many_fields())[:-2])
--- a/maddercart/rig/processes/memory_run.py
+++ b/maddercart/rig/processes/memory_run.py
@@ -51,6 +51,12 @@
     duration_seconds: float
     seed: int = 1
     is_gateway: bool = False
+    clients: int | None = None  # beside the usual ones; None: to a third of the descriptors
+
+    def client_count(self) -> int:
+        if self.clients is not None:
+            return self.clients
+        return self.descriptors // DESCRIPTOR_SHARE - USUAL_CLIENTS
 
 
 @dataclass(frozen=True)
@@ -64,6 +70,7 @@
     other_connections: int
     late_errors: int  # other connections that got neither an error nor their end in time
     log: str
+    slowest_seconds: float  # of the answers to usual requests
     losses: list[str]  # one line for each usual request without an answer
 
     def describe(self) -> str:
@@ -71,6 +78,7 @@
         return (
             f"idle {self.idle_mb:.1f} MB, peak {self.peak_mb:.1f} MB, usual requests {self.usual_requests}, "
             f"{self.usual_answered} answered, {self.usual_unanswered} without an answer, "
+            f"the slowest after {self.slowest_seconds:.2f} s, "
             f"{self.other_connections} other connections, {self.late_errors} of them with a late error"
         )
 
@@ -138,8 +146,7 @@
         assert sidecar.process is not None
         idle_mb = own_memory_mb(sidecar.process.pid)
         watch = MemoryWatch(sidecar.process.pid)
-        count = settings.descriptors // DESCRIPTOR_SHARE - USUAL_CLIENTS
-        shapes = [settings.shapes[n % len(settings.shapes)] for n in range(count)]
+        shapes = [settings.shapes[n % len(settings.shapes)] for n in range(settings.client_count())]
         group.start_clients(USUAL_CLIENTS, USUAL_PAUSE_SECONDS, settings.duration_seconds + 2 * QUIET_SECONDS)
         watching = asyncio.create_task(watch.run())
         await asyncio.sleep(QUIET_SECONDS)
@@ -153,6 +160,7 @@
         return MemoryRunResult(
             idle_mb, watch.peak_mb, sidecar.process.poll(), len(group.requests), answered, len(lost),
             others.connections, others.late_errors, sidecar.log_file.read_text(),
+            max((r.responded_at - r.sent_at for r in group.requests if r.responded_at), default=0.0),
             [f"{request.trace_id}: {request.loss_reason}" for request in lost],
         )  # fmt: skip
 
--- a/maddercart/sidecar/memory.py
+++ b/maddercart/sidecar/memory.py
@@ -32,6 +32,7 @@
 # Of the limit of the process, for what the ledger doesn't estimate: fragments, buffers of single reads.
 RESERVE_SHARE, MIN_RESERVE_BYTES = 0.1, 3 * MEGABYTE_BYTES
 MIN_LIMIT_BYTES = 2 * MEGABYTE_BYTES  # with less no client could be served
+UNLIMITED_BYTES = 1 << 62  # where nothing is held for clients
 DEFAULT_OWN_BYTES = 20 * MEGABYTE_BYTES  # of the program, where the system doesn't tell
 
 ROOM_POLL_NS = 50_000_000  # between two looks for room
@@ -46,6 +47,7 @@
     QUERIES = auto()  # whole requests that have no answer yet
     ANSWERS = auto()  # being received or written
     UPSTREAMS = auto()  # connections to upstreams
+    KEYS = auto()  # of rate limits
 
 
 class MemoryLedger:
--- a/tests/gateway/test_units.py
+++ b/tests/gateway/test_units.py
@@ -13,14 +13,21 @@
 
 from maddercart.cli import app
 from maddercart.gateway.check import read_gateway
-from maddercart.gateway.config import ConfigFileError, Log, Route, Target
+from maddercart.gateway.config import ConfigFileError, Log, RateLimit, Route, Target
 from maddercart.gateway.front import Routing
-from maddercart.gateway.limits import AdaptiveLimiter, ConcurrencyLimiter, RateLimiter, RetryLimiter
+from maddercart.gateway.limits import (
+    KEY_BYTES,
+    AdaptiveLimiter,
+    ConcurrencyLimiter,
+    RateLimiter,
+    RetryLimiter,
+)
 from maddercart.gateway.reference import render_page
 from maddercart.gateway.routes import RouteLookup, RouteRule, RouteTable, path_segments
 from maddercart.gateway.targets import BadTarget, parse_target
 from maddercart.interface import MILLISECOND, SECOND
 from maddercart.sidecar.logs import JsonFormatter
+from maddercart.sidecar.memory import UNLIMITED_BYTES, MemoryLedger, MemoryUse
 
 # -- request targets
 
@@ -176,7 +183,7 @@
     routes = [route("r", to=[Target("big", 99.0), Target("small", 1.0)])]
     pools: dict[str, Any] = {"big": "big", "small": "small"}
     for reloads in (0, 50):
-        routing = Routing(lambda: 0, 7)
+        routing = Routing(lambda: 0, 7, MemoryLedger(UNLIMITED_BYTES))
         drawn: Counter[str] = Counter()
         for n in range(10_000):
             if n % (10_000 // (reloads + 1)) == 0:
@@ -227,6 +234,29 @@
     assert len(limiter.full_at) == 1, "all other buckets are full, so their keys need no entry"
 
 
+def test_names_that_a_client_makes_long_are_not_kept() -> None:
+    """A client under ever new names of 8 KB had 100,000 of them kept: 800 MB."""
+    limiter = RateLimiter(1.0, 5, 50_000)
+    tracemalloc.start()
+    for number in range(2_000):
+        limiter.admit(number, f"{number:08192}")
+    held = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    assert len(limiter.full_at) == 2_000 and held < 2_000 * KEY_BYTES
+
+
+def test_rate_limits_share_what_memory_has_for_their_keys() -> None:
+    ledger = MemoryLedger(1 << 20)
+    routing = Routing(lambda: 0, 7, ledger)
+    limits = [RateLimit(1.0, key="header:x"), RateLimit(2.0, key="client")]
+    routing.reconfigure([Route("r", [Target("p")], limits=limits)], {}, Log())
+    for limiter in routing.routes[0].rate_limiters:
+        for number in range(1_000):
+            limiter.admit(0, str(number))
+    routing.hold_keys()
+    assert 0 < ledger.held[MemoryUse.KEYS] <= 0.1 * ledger.limit_bytes
+
+
 def test_key_beyond_the_tracked_ones_is_limited_and_rarely_because_of_others() -> None:
     limiter = RateLimiter(1.0, 2, 10)
     for n in range(10):
