A later process at an address is not taken for the one that had it

Cause: upstreams are known by name, and an address may be listed for two of them until the end of the former is told. Queries chosen for the former, its zone and its group, went to the process now in its place; in the gateway a server listed at another address under its old name kept its start.

Change: of two listed upstreams at one address the one that started later has it; the other gets no more, and what is connecting to it is withdrawn. In the gateway a start belongs to a name and an address, so a server that moved counts as new where fresh_is_cold is set. What can't be told: a process that takes an address before the list says so.

--- a/maddercart/gateway/members.py
+++ b/maddercart/gateway/members.py
@@ -20,27 +20,29 @@
 class MemberList:
     """Turns configured servers into numbered versions of a list.
 
-    A server that the previous version lacked counts as just started if the pool's `fresh_is_cold` is set.
-    Those of the first version count as warm: otherwise a restart of the gateway would limit all of them as
-    cold at once.
+    A server that the previous version lacked, or had at another address, counts as just started if the
+    pool's `fresh_is_cold` is set. Those of the first version count as warm: otherwise a restart of the
+    gateway would limit all of them as cold at once.
     """
 
     def __init__(self, clock: Callable[[], int]) -> None:
         self.clock = clock
         self.seq = 0  # of the latest version; 0: none yet
-        self.started_ms: dict[str, float] = {}  # by server name: when it started, in milliseconds; 0: warm
+        # By server name and address: when it started, in milliseconds; 0: warm.
+        self.started_ms: dict[tuple[str, str], float] = {}
 
     def listing(self, servers: Sequence[Server], pool: Pool) -> Listing:
         """The next version, with the whole list."""
         now_ms = self.clock() / MILLISECOND if self.seq and pool.fresh_is_cold else 0.0
         names = [server.name or server.address for server in servers]
-        self.started_ms = {name: self.started_ms.get(name, now_ms) for name in names}
+        keys = [(name, server.address) for name, server in zip(names, servers, strict=True)]
+        self.started_ms = {key: self.started_ms.get(key, now_ms) for key in keys}
         self.seq += 1
         hosts = [
             {
                 "host": name, "dial": server.address, "site": server.zone or zone_names(pool)[0],
                 "class": server.kind or kind_names(pool)[0], "block": server.cell, "share": server.size,
-                "born_ms": self.started_ms[name],
+                "born_ms": self.started_ms[name, server.address],
                 "health": "SERVING" if server.state == "ready" else "DRAINING",
             }
             for name, server in zip(names, servers, strict=True)
--- a/maddercart/sidecar/upstreams.py
+++ b/maddercart/sidecar/upstreams.py
@@ -45,6 +45,7 @@
         self.renumber(zones, kinds)
         self.names: dict[int, str] = {}  # by upstream
         self.addresses: dict[int, tuple[str, int]] = {}  # of listed upstreams, draining ones included
+        self.holders: dict[tuple[str, int], int] = {}  # by address: the upstream that started there last
         self.ready: set[int] = set()
         self.closed_by_peers: set[int] = set()  # on the word of other sidecars, until the next listing
         self.version: int | None = None  # None: the whole list must be asked for
@@ -77,6 +78,7 @@
         if listing.whole:
             self.names.clear()
             self.addresses.clear()
+            self.holders.clear()
             self.ready.clear()
         # A change tells what has just happened; a whole list and the first two listings also hold older
         # starts.
@@ -88,9 +90,30 @@
         entries = [
             entry for line in listing.hosts if (entry := self.read_line(line, reference_ms)) is not None
         ]
+        entries += self.close_superseded(entries)
         self.record_changes(listing, entries)
         return entries
 
+    def close_superseded(self, entries: Sequence[ListEntry]) -> list[ListEntry]:
+        """Closes upstreams at whose address a later one has started: who answers there now is another
+        process, whether or not the list has told the end of the former one."""
+        closed = []
+        for entry in entries:
+            if (address := self.addresses.get(entry.upstream)) is None:
+                continue
+            holder = self.holders.setdefault(address, entry.upstream)
+            if self.addresses.get(holder) != address:
+                holder = self.holders[address] = entry.upstream
+            former, latest = sorted((holder, entry.upstream), key=self.start_times.last_stamp_ms)
+            if self.start_times.last_stamp_ms(former) < self.start_times.last_stamp_ms(latest):
+                self.holders[address] = latest
+                self.ready.discard(former)
+                closed.append(former)
+        if not closed:
+            return []
+        known = self.entries | {entry.upstream: entry for entry in entries}
+        return [known[number]._replace(condition=DRAINING) for number in closed]
+
     def apply_peer_entries(self, entries: Sequence[ListEntry]) -> None:
         """Applies entries of other sidecars: they close upstreams that discovery has left open, and reopen
         those that were closed this way."""
--- a/tests/gateway/test_units.py
+++ b/tests/gateway/test_units.py
@@ -13,7 +13,7 @@
 
 from maddercart.cli import app
 from maddercart.gateway.check import read_gateway
-from maddercart.gateway.config import ConfigFileError, Log, RateLimit, Route, Target
+from maddercart.gateway.config import ConfigFileError, Log, Pool, RateLimit, Route, Server, Target
 from maddercart.gateway.front import Routing
 from maddercart.gateway.limits import (
     KEY_BYTES,
@@ -22,6 +22,7 @@
     RateLimiter,
     RetryLimiter,
 )
+from maddercart.gateway.members import MemberList
 from maddercart.gateway.reference import render_page
 from maddercart.gateway.routes import RouteLookup, RouteRule, RouteTable, path_segments
 from maddercart.gateway.targets import BadTarget, parse_target
@@ -432,3 +433,13 @@
     record.pool, record.odd = "p", {1, 2}.__class__
     fields = json.loads(JsonFormatter().format(record))
     assert (fields["msg"], fields["pool"], fields["level"], fields["of"]) == ("took 3", "p", "INFO", "of")
+
+
+def test_a_server_at_another_address_is_another_process() -> None:
+    """It was taken for the former one of its name, and got a warm server's share of the queries."""
+    pool, now = Pool("p", fresh_is_cold=True), [0]
+    members = MemberList(lambda: now[0])
+    members.listing([Server("a", "127.0.0.1:1"), Server("b", "127.0.0.1:2")], pool)
+    now[0] = SECOND
+    listing = members.listing([Server("a", "127.0.0.1:3"), Server("b", "127.0.0.1:2")], pool)
+    assert [line["born_ms"] for line in listing.hosts] == [1000.0, 0.0]
--- a/tests/test_list_changes.py
+++ b/tests/test_list_changes.py
@@ -18,7 +18,7 @@
 from maddercart.net import sockets
 from maddercart.net.loop import Wait
 from maddercart.sidecar import dispatches
-from maddercart.sidecar.upstreams import upstream_number
+from maddercart.sidecar.upstreams import Upstreams, upstream_number
 from tests.helpers import (
     BalancerHarness,
     SidecarHarness,
@@ -392,3 +392,20 @@
         harness.read(upstream)
         upstream.sendall(http_response())
         assert harness.response_status(client) == 200
+
+
+@pytest.mark.parametrize("order", [1, -1])
+@pytest.mark.parametrize("whole", [True, False])
+def test_a_later_process_at_an_address_is_not_taken_for_the_one_that_had_it(whole: bool, order: int) -> None:
+    """Until the end of the former one was told, queries meant for it went to the process in its place."""
+    former, latest = upstream_number("s-1"), upstream_number("s-2")
+    upstreams = Upstreams(lambda: 0, ["a", "b"], ["m"])
+    upstreams.apply_listing(Listing(1, [list_line("s-1")], whole=True))
+    lines = [list_line("s-2", born_ms=5.0, site="b"), list_line("s-1")][::order]
+    entries = upstreams.apply_listing(Listing(2, lines, whole))
+    assert latest in upstreams.ready and former not in upstreams.ready
+    assert upstreams.may_send(latest, ("127.0.0.1", 1)) and not upstreams.may_send(former, ("127.0.0.1", 1))
+    assert [entry.condition for entry in entries if entry.upstream == former][-1] == i.DRAINING
+    moved = list_line("s-1", dial="127.0.0.1:2", born_ms=9.0)
+    upstreams.apply_listing(Listing(3, [moved], whole=False))
+    assert former in upstreams.ready, "it has started elsewhere"
