An exception in a callback, a reload or an accept ends neither the process nor its part

Callers saw: 'a node's process ended by itself' (one reading of the report; its logs show no traceback).

Cause: an exception in a callback for a readable descriptor, or from epoll when one is taken out, left the loop, and the process ended. One in a reload ended the coroutine that handles signals, so that SIGTERM was ignored; in an accept, the listener; in a datagram, the peers; in the end of a connection, whoever closed it, the shutdown among them.

Change: each is logged with its traceback and goes no further. A timer weeks away no longer overflows epoll's timeout.

--- a/maddercart/net/loop.py
+++ b/maddercart/net/loop.py
@@ -27,6 +27,8 @@
 
 NEVER = 1 << 62  # later than any time of a clock
 
+MAX_POLL_SECONDS = 60.0  # epoll refuses some weeks and more
+
 # Reasons for resuming a coroutine other than epoll events, which are greater than zero.
 DEADLINE_PASSED = 0
 WOKEN = -1
@@ -141,7 +143,10 @@
         if (coroutine := task.coroutine) is not None:
             self.unwait(task)
             task.coroutine = None
-            coroutine.close()
+            try:
+                coroutine.close()
+            except Exception:  # must not end whoever closes it
+                log.exception("coroutine failed at its end")
 
     def resume(self, task: Task, reason: int) -> None:
         """Runs a coroutine up to its next wait; `reason` is an epoll mask, DEADLINE_PASSED or WOKEN."""
@@ -280,7 +285,7 @@
         if self.woken or self.due:
             timeout_seconds = 0.0
         elif self.timers:
-            timeout_seconds = max(0, self.timers[0][0] - before) / SECOND
+            timeout_seconds = min(MAX_POLL_SECONDS, max(0, self.timers[0][0] - before) / SECOND)
         events = self.epoll.poll(timeout_seconds)
         now = self.clock()
         # If the poll blocked, its events have just occurred; otherwise at any time since the previous poll.
@@ -292,16 +297,24 @@
         for fd, events in self.poll():
             if (task := self.waiting_tasks.get(fd)) is not None:
                 self.add_due(task, task.resumptions, events)
-            elif (call := self.readable_callbacks.pop(fd, None)) is not None:
-                call()
             else:
-                self.unregister(fd)
+                self.run_callback(fd)
         for task, resumptions in self.woken:
             self.add_due(task, resumptions, WOKEN)
         self.woken.clear()
         self.resume_due()
         self.run_timers()
 
+    def run_callback(self, fd: int) -> None:
+        """Makes the call that was set for a descriptor; without one nothing waits for it any more."""
+        try:
+            if (call := self.readable_callbacks.pop(fd, None)) is not None:
+                call()
+            else:
+                self.unregister(fd)
+        except Exception:
+            log.exception("callback failed")  # must not affect the others
+
     def add_due(self, task: Task, resumptions: int, reason: int) -> None:
         """Notes that a coroutine is to be resumed, unless that is noted already."""
         noted = self.due.get(task)
--- a/maddercart/sidecar/applications.py
+++ b/maddercart/sidecar/applications.py
@@ -79,6 +79,8 @@
                     continue
             except OSError as error:
                 log.warning("connections can't be accepted", extra={"reason": str(error)})
+            except Exception:
+                log.exception("accepting failed")  # the listener goes on
             yield Wait(deadline=self.clock() + self.ACCEPT_RETRY_NS)
 
     def accept_batch(self, listener: socket.socket, limit: int = ACCEPT_BATCH) -> bool:
--- a/maddercart/sidecar/peers.py
+++ b/maddercart/sidecar/peers.py
@@ -132,6 +132,8 @@
                 except ValueError as error:
                     self.counts["words_dropped"] += 1
                     self.log_dropped(sender, str(error))
+                except Exception:
+                    log.exception("datagram failed")  # later ones are handled all the same
 
     def log_dropped(self, sender: Address, reason: str) -> None:
         """Logs each reason once at INFO, so that a tier whose datagrams are all dropped is noticed."""
--- a/maddercart/sidecar/signals.py
+++ b/maddercart/sidecar/signals.py
@@ -1,5 +1,6 @@
 """Delivers signals as calls in the event loop: SIGTERM and SIGINT once in all, SIGHUP each time."""
 
+import logging
 import signal
 import socket
 from collections.abc import Callable
@@ -8,6 +9,8 @@
 from maddercart.net.sockets import read_available
 from maddercart.net.startup import retry_while_exhausted
 
+log = logging.getLogger(__name__)
+
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
@@ -25,13 +28,19 @@
         signal.signal(number, lambda *_: None)
     signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
 
+    def reload_safely() -> None:
+        try:
+            on_reload()
+        except Exception:
+            log.exception("reload failed")  # later signals are handled all the same
+
     def dispatch_signals() -> Coroutine:
         stopping = False
         while sender.fileno() >= 0:
             yield Wait(receiver.fileno(), READ)
             received = set(read_available(receiver) or b"")
             if signal.SIGHUP in received:
-                on_reload()
+                reload_safely()
             if not stopping and received.intersection(STOP_SIGNALS):
                 stopping = True
                 on_stop()
--- a/tests/faults/test_system_calls.py
+++ b/tests/faults/test_system_calls.py
@@ -2,6 +2,7 @@
 
 import errno
 import os
+import signal
 import socket
 from typing import Any
 
@@ -13,6 +14,7 @@
 from maddercart.net.startup import retry_while_exhausted
 from maddercart.sidecar.clock import MonotonicClock
 from maddercart.sidecar.endings import OUTCOME_BY_ENDING, Ending
+from maddercart.sidecar.signals import STOP_SIGNALS, install_signal_handlers
 from tests.helpers import SidecarHarness, http_response
 
 
@@ -146,3 +148,77 @@
         harness.config |= {"discovery": "127.0.0.1:2"}
         harness.node.reload()
         harness.run_until(lambda: harness.node.discovery.address == ("127.0.0.1", 2))
+
+
+# -- exceptions, which must not end the process or make it deaf
+
+
+def fail(*_: Any) -> Any:
+    raise KeyError("a fault of ours")
+
+
+def test_a_callback_that_fails_does_not_end_the_loop() -> None:
+    """Its exception left the loop, and the process ended."""
+    loop, calls = Loop(MonotonicClock()), []
+    pairs = [socket.socketpair() for _ in range(3)]
+    for call, (near, far) in zip((fail, calls.append, calls.append), pairs, strict=True):
+        loop.call_when_readable(near.fileno(), lambda call=call: call(1))  # type: ignore[misc]
+        far.send(b"x")
+    loop.run_once()
+    assert calls == [1, 1]
+
+
+def test_a_descriptor_that_epoll_no_longer_knows_does_not_end_the_loop(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    loop = Loop(MonotonicClock())
+    near, far = socket.socketpair()
+    loop.set_events(near.fileno(), READ)
+    far.send(b"x")
+    monkeypatch.setattr(loop, "unregister", fail)
+    loop.run_once()
+
+
+def test_a_coroutine_that_fails_at_its_end_does_not_end_the_one_that_closes_it() -> None:
+    """The shutdown closes idle connections; one that failed ended it, and the process never stopped."""
+    loop, ended = Loop(MonotonicClock()), []
+
+    def failing() -> Coroutine:
+        try:
+            yield Wait()
+        finally:
+            fail()
+
+    def closing() -> Coroutine:
+        loop.close(loop.spawn(failing()))
+        ended.append(True)
+        yield Wait()
+
+    loop.spawn(closing())
+    assert ended
+
+
+def test_signals_are_handled_after_a_reload_that_failed(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Signals in series: after a reload had raised an exception, SIGTERM was ignored."""
+    with SidecarHarness() as harness:
+        former = {number: signal.getsignal(number) for number in (*STOP_SIGNALS, signal.SIGHUP)}
+        install_signal_handlers(harness.node.loop, harness.node.stop, fail)
+        try:
+            os.kill(os.getpid(), signal.SIGHUP)
+            harness.run_for(0.05)
+            os.kill(os.getpid(), signal.SIGTERM)
+            harness.run_until(lambda: harness.node.applications.stopping)
+        finally:
+            signal.set_wakeup_fd(-1)
+            for number, handler in former.items():
+                signal.signal(number, handler)
+
+
+def test_a_fault_while_accepting_does_not_end_the_listener(monkeypatch: pytest.MonkeyPatch) -> None:
+    with SidecarHarness() as harness:
+        with monkeypatch.context() as patch:
+            patch.setattr(harness.node.applications, "accept_batch", fail)
+            client = harness.client()
+            harness.run_for(0.05)
+        client.sendall(b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+        assert harness.response_status(client) == 200
