A write that lacks local memory is tried again

Callers would see: a request or an answer lost when the system lacks buffers for a moment.

Cause: ENOBUFS and ENOMEM of send(2) were taken for the end of the connection, though reads knew better.

Change: such a write is tried again in the next turn, up to 1,000 times.

Result: both cases of the test fail before. test_system_calls.py: 28 passed.

--- a/maddercart/net/sockets.py
+++ b/maddercart/net/sockets.py
@@ -23,8 +23,9 @@
 ACCEPT_TRIES = 64  # limits the failed connections that are skipped before the loop turns to other work
 # The connection attempt continues in the background, also after an interrupt by a signal (connect(2)).
 CONNECT_PENDING_ERRNOS = frozenset({errno.EINPROGRESS, errno.EINTR, errno.EALREADY})
-# The read failed for lack of local memory or was interrupted; the received data is still available.
-READ_RETRYABLE_ERRNOS = frozenset({errno.ENOMEM, errno.ENOBUFS, errno.EINTR})
+# The call failed for lack of local memory or was interrupted; the connection is as it was.
+RETRYABLE_ERRNOS = frozenset({errno.ENOMEM, errno.ENOBUFS, errno.EINTR})
+MAX_WRITE_FAILURES = 1000  # of one write for lack of local memory, each followed by a turn of the loop
 # Local lack of descriptors, ports or buffers, which says nothing about the remote host.
 LOCAL_RESOURCE_ERRNOS = frozenset({
     errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EAGAIN, errno.EADDRNOTAVAIL,
@@ -101,11 +102,15 @@
 
     Raises `OSError` if the connection breaks.
     """
-    view = memoryview(data)
+    view, failures = memoryview(data), 0
     while view:
         try:
             view = view[sock.send(view) :]
-        except BlockingIOError:
+        except OSError as error:
+            if error.errno in RETRYABLE_ERRNOS and failures < MAX_WRITE_FAILURES:
+                failures += 1
+            elif not isinstance(error, BlockingIOError):
+                raise
             if (yield Wait(sock.fileno(), WRITE, deadline)) == DEADLINE_PASSED:
                 return False
     return True
@@ -121,7 +126,7 @@
     except BlockingIOError:
         return None
     except OSError as error:
-        if error.errno in READ_RETRYABLE_ERRNOS:
+        if error.errno in RETRYABLE_ERRNOS:
             return None
         raise
 
@@ -153,7 +158,7 @@
     except BlockingIOError:
         return PeerState.OPEN
     except OSError as error:
-        return PeerState.UNREAD if error.errno in READ_RETRYABLE_ERRNOS else PeerState.CLOSED
+        return PeerState.UNREAD if error.errno in RETRYABLE_ERRNOS else PeerState.CLOSED
 
 
 def read(
--- a/tests/faults/test_system_calls.py
+++ b/tests/faults/test_system_calls.py
@@ -222,3 +222,31 @@
             harness.run_for(0.05)
         client.sendall(b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n")
         assert harness.response_status(client) == 200
+
+
+@pytest.mark.parametrize("number", [errno.ENOBUFS, errno.ENOMEM])
+def test_a_write_that_lacks_local_memory_is_tried_again(number: int) -> None:
+    """It was taken for the end of the connection, and the answer was lost."""
+
+    class Failing(socket.socket):
+        failures = 3
+
+        def send(self, data: Any, flags: int = 0) -> int:
+            if self.failures:
+                self.failures -= 1
+                raise OSError(number, os.strerror(number))
+            return super().send(data, flags)
+
+    loop, results = Loop(MonotonicClock()), []
+    near, far = socket.socketpair()
+    failing = Failing(fileno=near.detach())
+    failing.setblocking(False)
+
+    def write() -> Coroutine:
+        results.append((yield from sockets.write(failing, b"answer", None)))
+
+    loop.spawn(write())
+    for _ in range(4):
+        loop.call_at(loop.clock(), lambda: None)
+        loop.run_once()
+    assert results == [True] and far.recv(64) == b"answer"
