Signals while the interpreter ends don't make a stop a crash; soaks with signals and crowds

Callers saw: 'a node's process ended by itself'.

Cause: its log ends with 'stopped', so its loop was over. As the interpreter ends it puts the default actions back, and a second SIGINT or SIGTERM (or SIGHUP of a reload) that comes then ends the process by the signal.

Change: once the loop is over the handled signals are ignored, which the interpreter leaves alone. Soaks: clients use a connection until the sidecar ends it, with hardly a pause once SIGTERM was sent; signals come in series; each third seed has a crowd of 150 clients of all shapes at a sidecar with 32 MB, whose memory is watched; a process that ends by itself is counted whenever that is seen (it was passed over); writes fail for want of memory too.

--- a/maddercart/gateway/node.py
+++ b/maddercart/gateway/node.py
@@ -27,7 +27,7 @@
     own_memory_bytes,
 )
 from maddercart.sidecar.node import ANSWER_BODY_SHARE, COUNTS_INTERVAL_NS, RESERVED_DESCRIPTORS
-from maddercart.sidecar.signals import install_signal_handlers
+from maddercart.sidecar.signals import ignore_signals, install_signal_handlers
 from maddercart.sidecar.stopping import shut_down
 
 log = logging.getLogger(__name__)
@@ -223,6 +223,7 @@
             "listen": addresses, "routes": len(self.config.routes), "pools": len(self.pools),
         })  # fmt: skip
         self.loop.run()
+        ignore_signals()
         log.info("stopped", extra=self.total_counts())
 
     def stop(self) -> None:
--- a/maddercart/rig/processes/clients.py
+++ b/maddercart/rig/processes/clients.py
@@ -12,6 +12,7 @@
 from maddercart.rig.processes.sidecar_process import HARD_STOP_SECONDS, OFFERINGS, SidecarProcess
 
 CONNECT_WINDOW_SECONDS = 0.4  # after SIGTERM, while the listener still accepts connections
+STOPPING_PAUSE_SECONDS = 0.02  # at most, between two requests on a connection while the sidecar stops
 LATE_RESPONSE_SECONDS = 0.5  # after a request's timeout: a response is late, but the request is not lost
 
 
@@ -48,10 +49,15 @@
     async def run(self, until: float, mean_pause_seconds: float) -> None:
         """Sends one request after another until the instant `until` (monotonic seconds)."""
         while time.monotonic() < until:
-            await asyncio.sleep(self.rng.uniform(0, 2 * mean_pause_seconds))
+            await asyncio.sleep(self.pause_seconds(mean_pause_seconds))
             await self.send_request()
         self.close()
 
+    def pause_seconds(self, mean_seconds: float) -> float:
+        """Until the next request. While the sidecar stops, a connection is used for as long as it is open."""
+        is_stopping = self.sidecar.sigterm_sent_at is not None and self.streams is not None
+        return self.rng.uniform(0, STOPPING_PAUSE_SECONDS if is_stopping else 2 * mean_seconds)
+
     async def send_request(self) -> None:
         offering = self.rng.choice(list(OFFERINGS))
         trace_id = f"{self.rng.getrandbits(64):016x}"
--- a/maddercart/rig/processes/fault_schedule.py
+++ b/maddercart/rig/processes/fault_schedule.py
@@ -59,6 +59,7 @@
         "term",
         "kill",
         "crowd",
+        "signals",
         "hang",
         "drain",
         "drain",
@@ -111,6 +112,9 @@
             case "term":
                 await self.terminate(sidecar)
                 await self.restart(sidecar)
+            case "signals":
+                await self.send_signals_in_series(sidecar)
+                await self.restart(sidecar)
             case "kill":
                 await self.kill(sidecar)
                 await self.restart(sidecar)
@@ -186,12 +190,24 @@
         for writer in writers:
             writer.transport.abort()
 
+    async def send_signals_in_series(self, sidecar: SidecarProcess) -> None:
+        """Sends reloads close together, then a stop with further signals behind it."""
+        for _ in range(self.rng.randrange(1, 8)):
+            sidecar.send_signal(signal.SIGHUP)
+            await asyncio.sleep(self.rng.choice([0.0, 0.01, 0.2]))
+        stopping = asyncio.create_task(self.terminate(sidecar))
+        for _ in range(self.rng.randrange(1, 6)):
+            await asyncio.sleep(self.rng.uniform(0, 0.4))
+            sidecar.send_signal(self.rng.choice([signal.SIGTERM, signal.SIGINT, signal.SIGHUP]))
+        await stopping
+
     def latest_run(self, sidecar: SidecarProcess) -> ProcessRun:
         return next(run for run in reversed(self.record.runs) if run.sidecar == sidecar.name)
 
     async def terminate(self, sidecar: SidecarProcess) -> None:
         """Sends SIGTERM, and SIGKILL after the shortest time that the sidecar must be given."""
         if not sidecar.is_running():
+            sidecar.note_crash()
             return
         code = await asyncio.to_thread(sidecar.stop, signal.SIGTERM, SIGKILL_DELAY_SECONDS)
         self.record.exit_codes.append(code)
@@ -214,6 +230,7 @@
         """Starts the sidecar unless it runs, with the current upstream list or an earlier one as `known`."""
         if sidecar.is_running():
             return
+        sidecar.note_crash()
         if self.rng.random() < 0.5:
             sidecar.configure(known=self.group.registry.snapshot())
         sidecar.start()
--- a/maddercart/rig/processes/faulty.py
+++ b/maddercart/rig/processes/faulty.py
@@ -23,6 +23,7 @@
 SOCKET_ERRORS = (errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 ACCEPT_ERRORS = (errno.ECONNABORTED, errno.ENFILE, errno.ENOBUFS, errno.EPROTO, errno.ENETDOWN, errno.EINTR)
 CONNECT_ERRORS = (errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.EHOSTUNREACH, errno.ETIMEDOUT, errno.EAGAIN)
+SEND_ERRORS = (errno.ENOBUFS, errno.ENOMEM, errno.EAGAIN)
 RECEIVE_ERRORS = (errno.ETIMEDOUT, errno.EHOSTUNREACH)
 
 
@@ -88,6 +89,8 @@
             return super().recv(min(size, 7) if not flags and draw_fault() else size, flags)
 
         def send(self, data: Any, flags: int = 0) -> int:
+            if draw_fault():
+                raise make_error(SEND_ERRORS)
             return super().send(data[:5] if draw_fault() else data, flags)
 
     socket.socket = FaultySocket  # type: ignore[misc]
--- a/maddercart/rig/processes/memory_run.py
+++ b/maddercart/rig/processes/memory_run.py
@@ -121,14 +121,15 @@
 
 
 class MemoryWatch:
-    """Notes the highest memory of a process."""
+    """Notes the highest memory of a sidecar's processes."""
 
-    def __init__(self, process_id: int) -> None:
-        self.process_id, self.peak_mb = process_id, 0.0
+    def __init__(self, sidecar: SidecarProcess) -> None:
+        self.sidecar, self.peak_mb = sidecar, 0.0
 
     async def run(self) -> None:
         while True:
-            self.peak_mb = max(self.peak_mb, own_memory_mb(self.process_id))
+            if self.sidecar.process is not None:
+                self.peak_mb = max(self.peak_mb, own_memory_mb(self.sidecar.process.pid))
             await asyncio.sleep(POLL_SECONDS)
 
 
@@ -145,7 +146,7 @@
         await group.start_sidecars()
         assert sidecar.process is not None
         idle_mb = own_memory_mb(sidecar.process.pid)
-        watch = MemoryWatch(sidecar.process.pid)
+        watch = MemoryWatch(sidecar)
         shapes = [settings.shapes[n % len(settings.shapes)] for n in range(settings.client_count())]
         group.start_clients(USUAL_CLIENTS, USUAL_PAUSE_SECONDS, settings.duration_seconds + 2 * QUIET_SECONDS)
         watching = asyncio.create_task(watch.run())
--- a/maddercart/rig/processes/sidecar_process.py
+++ b/maddercart/rig/processes/sidecar_process.py
@@ -68,7 +68,8 @@
         self.set_wall_clock_offset(0)
         self.start_count = 0
         self.process: subprocess.Popen[bytes] | None = None
-        self.crash_exit_codes: list[int] = []  # of processes that `stop` found already ended
+        self.crash_exit_codes: list[int] = []  # of processes that ended without a signal
+        self.ended_by_signal = True  # the process was told to end, or none was started
         self.sigterm_sent_at: float | None = None  # monotonic seconds; None: not since the last start
 
     def configure(self, **changes: Any) -> None:
@@ -82,7 +83,7 @@
 
     def start(self) -> None:
         self.start_count += 1
-        self.sigterm_sent_at = None
+        self.sigterm_sent_at, self.ended_by_signal = None, False
         environment = os.environ | {
             WALL_CLOCK_VARIABLE: str(self.wall_clock_file),
             "RELAY_CONFIG": str(self.config_file),
@@ -112,6 +113,13 @@
             time.sleep(0.05)
         raise TimeoutError(f"sidecar {self.name} did not become ready in time")
 
+    def note_crash(self) -> None:
+        """Records the exit code of a process that has ended by itself, once."""
+        code = None if self.process is None or self.ended_by_signal else self.process.poll()
+        if code is not None:
+            self.crash_exit_codes.append(code)
+            self.ended_by_signal = True
+
     def is_running(self) -> bool:
         return self.process is not None and self.process.poll() is None
 
@@ -126,8 +134,9 @@
         """
         assert self.process is not None
         if (code := self.process.poll()) is not None:
-            self.crash_exit_codes.append(code)
+            self.note_crash()
             return code
+        self.ended_by_signal = True
         if signal_number == signal.SIGTERM:
             self.sigterm_sent_at = time.monotonic()
         self.send_signal(signal_number)
--- a/maddercart/sidecar/node.py
+++ b/maddercart/sidecar/node.py
@@ -29,7 +29,7 @@
 )
 from maddercart.sidecar.peers import Peers
 from maddercart.sidecar.request_handlers import PlatformRequestHandler
-from maddercart.sidecar.signals import install_signal_handlers
+from maddercart.sidecar.signals import ignore_signals, install_signal_handlers
 from maddercart.sidecar.stopping import shut_down
 from maddercart.sidecar.wall_clock import WallClock
 
@@ -169,6 +169,7 @@
         listen_address = "{}:{}".format(*self.listener.getsockname())
         log.info("serving", extra={"listen": listen_address, "upstreams": len(self.upstreams.ready)})
         self.loop.run()
+        ignore_signals()
         log.info("stopped", extra=self.figures())
 
     def start(self) -> None:
--- a/maddercart/sidecar/signals.py
+++ b/maddercart/sidecar/signals.py
@@ -46,3 +46,9 @@
                 on_stop()
 
     loop.spawn(dispatch_signals(), RANK_FIRST)
+
+
+def ignore_signals() -> None:
+    """Ignores all that were handled, also while the interpreter ends, which else has them end the process."""
+    for number in (*STOP_SIGNALS, signal.SIGHUP):
+        signal.signal(number, signal.SIG_IGN)
--- a/tests/faults/test_system_calls.py
+++ b/tests/faults/test_system_calls.py
@@ -4,6 +4,9 @@
 import os
 import signal
 import socket
+import subprocess
+import sys
+from pathlib import Path
 from typing import Any
 
 import pytest
@@ -15,7 +18,7 @@
 from maddercart.sidecar.clock import MonotonicClock
 from maddercart.sidecar.endings import OUTCOME_BY_ENDING, Ending
 from maddercart.sidecar.signals import STOP_SIGNALS, install_signal_handlers
-from tests.helpers import SidecarHarness, http_response
+from tests.helpers import SidecarHarness, http_response, sidecar_config
 
 
 class FailingListener:
@@ -250,3 +253,22 @@
         loop.call_at(loop.clock(), lambda: None)
         loop.run_once()
     assert results == [True] and far.recv(64) == b"answer"
+
+
+@pytest.mark.parametrize("number", [signal.SIGINT, signal.SIGTERM, signal.SIGHUP])
+def test_signals_while_the_interpreter_ends_do_not_make_the_stop_a_crash(
+    number: signal.Signals, tmp_path: Path
+) -> None:
+    """Soak seed 1: SIGINT came behind SIGTERM, and the process ended with -2."""
+    (file := tmp_path / "config.json").write_bytes(sidecar_config([]))
+    code = (
+        "import runpy; from maddercart.net.loop import Loop; Loop.run = lambda self: None\n"
+        "runpy.run_module('maddercart', run_name='__main__')"
+    )
+    command = [sys.executable, "-c", code, "serve", "--config", str(file)]
+    with subprocess.Popen(command, stderr=subprocess.PIPE) as process:
+        assert process.stderr is not None
+        assert any(b"msg=stopped" in line for line in process.stderr)
+        while process.poll() is None:
+            process.send_signal(number)
+    assert process.returncode == 0
