A stop that comes while a service starts is a stop

Callers would see: a process told to stop while it starts ends with -15 or -2, and connections in its backlog are reset.

Cause: only SIGHUP was blocked until the handlers were installed.

Change: process_signals.py blocks all handled signals first thing; they are delivered once the handlers are there.

--- a/maddercart/rig/processes/faulty.py
+++ b/maddercart/rig/processes/faulty.py
@@ -16,6 +16,8 @@
 from random import Random
 from typing import Any
 
+from maddercart.process_signals import block_signals
+
 WALL_CLOCK_VARIABLE = "MADDERCART_RIG_WALL"
 FAULTS_VARIABLE = "MADDERCART_RIG_FAULTS"
 NANOSECONDS_PER_SECOND = 1_000_000_000
@@ -98,6 +100,7 @@
 
 def main() -> None:
     """Installs the faults before any module of the program is imported."""
+    block_signals()
     if file := os.environ.get(WALL_CLOCK_VARIABLE):
         install_wall_clock_offset(Path(file))
     if faults := os.environ.get(FAULTS_VARIABLE):
--- a/maddercart/sidecar/signals.py
+++ b/maddercart/sidecar/signals.py
@@ -8,11 +8,10 @@
 from maddercart.net.loop import RANK_FIRST, READ, Coroutine, Loop, Wait
 from maddercart.net.sockets import read_available
 from maddercart.net.startup import retry_while_exhausted
+from maddercart.process_signals import HANDLED_SIGNALS, RELOAD_SIGNAL, STOP_SIGNALS, unblock_signals
 
 log = logging.getLogger(__name__)
 
-STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
-
 
 def install_signal_handlers(loop: Loop, on_stop: Callable[[], None], on_reload: Callable[[], None]) -> None:
     """Installs the signal handlers and returns.
@@ -24,9 +23,9 @@
     receiver.setblocking(False)
     sender.setblocking(False)
     signal.set_wakeup_fd(sender.fileno(), warn_on_full_buffer=False)
-    for number in (*STOP_SIGNALS, signal.SIGHUP):
+    for number in HANDLED_SIGNALS:
         signal.signal(number, lambda *_: None)
-    signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
+    unblock_signals()
 
     def reload_safely() -> None:
         try:
@@ -39,7 +38,7 @@
         while sender.fileno() >= 0:
             yield Wait(receiver.fileno(), READ)
             received = set(read_available(receiver) or b"")
-            if signal.SIGHUP in received:
+            if RELOAD_SIGNAL in received:
                 reload_safely()
             if not stopping and received.intersection(STOP_SIGNALS):
                 stopping = True
@@ -50,5 +49,5 @@
 
 def ignore_signals() -> None:
     """Ignores all that were handled, also while the interpreter ends, which else has them end the process."""
-    for number in (*STOP_SIGNALS, signal.SIGHUP):
+    for number in HANDLED_SIGNALS:
         signal.signal(number, signal.SIG_IGN)
--- a/tests/faults/test_system_calls.py
+++ b/tests/faults/test_system_calls.py
@@ -15,9 +15,10 @@
 from maddercart.net import sockets
 from maddercart.net.loop import READ, Coroutine, Loop, Wait
 from maddercart.net.startup import retry_while_exhausted
+from maddercart.process_signals import HANDLED_SIGNALS, STOP_SIGNALS
 from maddercart.sidecar.clock import MonotonicClock
 from maddercart.sidecar.endings import OUTCOME_BY_ENDING, Ending
-from maddercart.sidecar.signals import STOP_SIGNALS, install_signal_handlers
+from maddercart.sidecar.signals import install_signal_handlers
 from tests.helpers import SidecarHarness, http_response, sidecar_config
 
 
@@ -204,7 +205,7 @@
 def test_signals_are_handled_after_a_reload_that_failed(monkeypatch: pytest.MonkeyPatch) -> None:
     """Signals in series: after a reload had raised an exception, SIGTERM was ignored."""
     with SidecarHarness() as harness:
-        former = {number: signal.getsignal(number) for number in (*STOP_SIGNALS, signal.SIGHUP)}
+        former = {number: signal.getsignal(number) for number in HANDLED_SIGNALS}
         install_signal_handlers(harness.node.loop, harness.node.stop, fail)
         try:
             os.kill(os.getpid(), signal.SIGHUP)
@@ -272,3 +273,17 @@
         while process.poll() is None:
             process.send_signal(number)
     assert process.returncode == 0
+
+
+@pytest.mark.parametrize("number", STOP_SIGNALS)
+def test_a_stop_while_the_process_starts_is_a_stop(number: signal.Signals, tmp_path: Path) -> None:
+    """The signal's default action ended the process, with requests in the backlog of its listener."""
+    (file := tmp_path / "config.json").write_bytes(sidecar_config([]))
+    code = (
+        "import os, runpy, maddercart.services as services; run = services.run_service\n"
+        f"services.run_service = lambda arguments: (os.kill(os.getpid(), {int(number)}), run(arguments))[1]\n"
+        "runpy.run_module('maddercart', run_name='__main__')"
+    )
+    command = [sys.executable, "-c", code, "serve", "--config", str(file)]
+    done = subprocess.run(command, capture_output=True, timeout=20)
+    assert done.returncode == 0 and b"msg=stopped" in done.stderr
