What is kept of addresses and of records that peers don't agree on is bounded

Callers would see: memory that grows with each upstream at a new address, or with each record that a peer sends while discovery is out of reach.

Change: an address is forgotten with its upstream; of the records the last 16,384 are kept.

--- a/maddercart/sidecar/peers.py
+++ b/maddercart/sidecar/peers.py
@@ -44,6 +44,9 @@
 # How many peers answer an ask on average, chosen at random. With seven in ten of them gone, seven still do,
 # and two that agree are needed. Without this limit all of 200 answered, in several datagrams each.
 EXPECTED_ANSWERS = 24
+MAX_UNAGREED_RECORDS = (
+    16_384  # that peers have not agreed on yet; several for each upstream of the largest fleet
+)
 # Within `ASK_LIFETIME_NS`: a peer that asks without end is not answered without end.
 MAX_ANSWERS_PER_PEER = 4
 
@@ -182,6 +185,8 @@
             if record.condition not in (GONE, READY, DRAINING):
                 raise ValueError("unknown condition")
             self.senders_by_record[record].add(sender)
+            if len(self.senders_by_record) > MAX_UNAGREED_RECORDS:
+                del self.senders_by_record[next(iter(self.senders_by_record))]
             if len(self.senders_by_record[record]) == MIN_AGREEING_PEERS:
                 agreed.append(record)
         if agreed:
--- a/maddercart/sidecar/upstreams.py
+++ b/maddercart/sidecar/upstreams.py
@@ -94,6 +94,12 @@
         self.record_changes(listing, entries)
         return entries
 
+    def forget_address(self, number: int) -> None:
+        """The upstream is gone from its address, if it had one."""
+        address = self.addresses.pop(number, None)
+        if address is not None and self.holders.get(address) == number:
+            del self.holders[address]
+
     def close_superseded(self, entries: Sequence[ListEntry]) -> list[ListEntry]:
         """Closes upstreams at whose address a later one has started: who answers there now is another
         process, whether or not the list has told the end of the former one."""
@@ -194,10 +200,12 @@
         number, condition = upstream_number(host.host), CONDITIONS[host.health]
         if condition == GONE:
             self.names.pop(number, None)
-            self.addresses.pop(number, None)
+            self.forget_address(number)
         else:
             ip, port = parse_address(host.dial)
             ipaddress.IPv4Address(ip)  # a host name would need a lookup, which blocks
+            if self.addresses.get(number) != (ip, port):
+                self.forget_address(number)
             self.names[number], self.addresses[number] = host.host, (ip, port)
         (self.ready.add if condition == READY else self.ready.discard)(number)
         kind = self.kinds.get(host.kind, len(self.kinds))
--- a/tests/test_list_changes.py
+++ b/tests/test_list_changes.py
@@ -409,3 +409,6 @@
     moved = list_line("s-1", dial="127.0.0.1:2", born_ms=9.0)
     upstreams.apply_listing(Listing(3, [moved], whole=False))
     assert former in upstreams.ready, "it has started elsewhere"
+    gone = [list_line(name, health="DELETED") for name in ("s-1", "s-2")]
+    upstreams.apply_listing(Listing(4, gone, whole=False))
+    assert not upstreams.holders and not upstreams.addresses
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -12,6 +12,7 @@
     MAX_DATAGRAM_BYTES,
     MAX_RECORDS,
     TELL,
+    Message,
     UpstreamState,
     decode,
     encode,
@@ -19,6 +20,7 @@
     short_key,
 )
 from maddercart.messages.upstreams import Listing
+from maddercart.sidecar import peers as peer_module
 from maddercart.sidecar.upstreams import upstream_number
 from tests.helpers import SidecarHarness
 from tests.test_sidecar import accept_watch, send_list_line
@@ -189,3 +191,14 @@
     parts = list(encode_tells(9, 5, records))
     assert len(parts) == 4 and all(len(part) <= MAX_DATAGRAM_BYTES for part in parts)
     assert [record for part in parts for record in decode(part).states] == records
+
+
+def test_records_that_peers_do_not_agree_on_are_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    """One peer could send ever new ones while discovery was out of reach, and all were kept."""
+    monkeypatch.setattr(peer_module, "MAX_UNAGREED_RECORDS", 10)
+    peers = Tier().harness.node.peers
+    assert peers is not None
+    peers.handle_report(
+        Message(TELL, 1, 0, [UpstreamState(number, GONE, 0) for number in range(50)]), ("", 1)
+    )
+    assert len(peers.senders_by_record) == 10
