--- a/maddercart/lab/runs.py
+++ b/maddercart/lab/runs.py
@@ -4,7 +4,7 @@
 import signal
 import traceback
 from collections.abc import Callable, Iterator, Sequence
-from concurrent.futures import FIRST_COMPLETED, Future, ProcessPoolExecutor, wait
+from functools import partial
 from multiprocessing import get_context
 from pathlib import Path
 
@@ -16,6 +16,7 @@
 from maddercart.interface import SECOND
 from maddercart.lab.experiment import Run, Value, code_digest
 from maddercart.lab.meter import Result
+from maddercart.lab.workers import Workers
 from maddercart.lab.world import World
 
 MAX_LATENCY_US, SIGNIFICANT_DIGITS = 3600 * 10**6, 3  # of the histograms; the maximum is an hour
@@ -103,26 +104,20 @@
     pending.sort(key=lambda run: -estimated_cost(run))
     context = get_context("forkserver")
     context.set_forkserver_preload(["maddercart.lab.runs"])
-    with ProcessPoolExecutor(max_workers=jobs, mp_context=context, max_tasks_per_child=1) as pool:
-        try:
-            running: set[Future[StoredRun]] = set()
-            remaining = iter(pending)
-            while True:
-                for run in take(remaining, jobs * 2 - len(running)):
-                    running.add(pool.submit(simulate, run, run.id()))
-                if not running:
-                    return
-                finished, running = wait(running, return_when=FIRST_COMPLETED)
-                for future in finished:
-                    stored = future.result()
-                    write_atomically(folder / "runs" / f"{stored.id}.msgpack", msgspec.msgpack.encode(stored))
-                    on_result(stored, True)
-                    yield stored
-        except BaseException:  # interrupted: running simulations are lost, stored results stay
-            for process in list((pool._processes or {}).values()):
-                process.terminate()
-            pool.shutdown(wait=False, cancel_futures=True)
-            raise
+    workers: Workers[StoredRun] = Workers(context)
+    remaining = iter(pending)
+    try:
+        while True:
+            for run in take(remaining, jobs - len(workers.running)):
+                workers.start(partial(simulate, run, run.id()))
+            if not workers.running:
+                return
+            for stored in workers.next_results():
+                write_atomically(folder / "runs" / f"{stored.id}.msgpack", msgspec.msgpack.encode(stored))
+                on_result(stored, True)
+                yield stored
+    finally:  # interrupted: running simulations are lost, stored results stay
+        workers.stop()
 
 
 def take(remaining: Iterator[Run], count: int) -> Iterator[Run]:
