Soaks don't judge an attempt by a drain that was over within a tick of the clock

Cause, by their logs: both went to an upstream that had just come back; the sidecar's line of the return is of the same 1 or 2 ms (25.105 and 06.429) as the attempt's stamp (25.1044 and 06.4274). A stamp goes by the age of the last data, which the system counts in ticks, so it may be early by one, and then the check took the attempt for one before the return.

--- a/tests/faults/test_soaks.py
+++ b/tests/faults/test_soaks.py
@@ -12,8 +12,9 @@
 import pytest
 
 from maddercart.rig.processes.clients import ClientRequest
+from maddercart.rig.processes.fake_discovery import ListVersion
 from maddercart.rig.processes.fake_upstreams import Attempt, FakeUpstream
-from maddercart.rig.processes.fault_schedule import SoakRecord
+from maddercart.rig.processes.fault_schedule import ProcessRun, ServiceUse, SoakRecord
 from maddercart.rig.processes.loopback import find_free_address, soak_host
 from maddercart.rig.processes.rule_checker import NEVER, RuleChecker
 from maddercart.rig.processes.soak import run_soak
@@ -87,3 +88,20 @@
 
     assert not is_broken(9.05, told=1.25) and is_broken(9.05, told=1.45)
     assert not is_broken(9.15, told=0.4) and is_broken(9.15, told=0.6)
+
+
+@pytest.mark.parametrize(("began_at", "is_late"), [(7.98, True), (7.992, False), (8.0, False)])
+def test_an_attempt_as_its_upstream_returns_is_no_drain_that_was_missed(
+    began_at: float, is_late: bool
+) -> None:
+    """Seeds 120 and 136: stamped a tick early, attempts to upstreams that had just come back were judged by
+    the drain before."""
+    versions = [
+        ListVersion(sequence, made_at, [{"host": "s-0", "health": health}])
+        for sequence, (made_at, health) in enumerate([(0, "SERVING"), (1, "DRAINING"), (8.0, "SERVING")])
+    ]
+    service: Any = SimpleNamespace(writes=[(1.0, 1)], healthy_spans=lambda: [])
+    record = SoakRecord([ProcessRun("n0", 0.0)], [ServiceUse("n0", service, 0.0)])
+    attempts = [Attempt("t", "s-0", "n0", began_at, 1.0)]
+    group: Any = SimpleNamespace(attempts=attempts, registry=SimpleNamespace(versions=versions))
+    assert bool(RuleChecker(group, record).attempts_after_drains()) == is_late
