--- a/maddercart/gateway/config.py
+++ b/maddercart/gateway/config.py
@@ -31,7 +31,9 @@
         PositiveCount,
         "file descriptors available for connections to clients and upstreams, including a reserve of 32",
     ] = 1024
-    memory_mb: Annotated[PositiveNumber, "memory in MB; a share of it is for incoming bodies"] = 192.0
+    memory_mb: Annotated[
+        PositiveNumber, "memory in MB, for the program and all that its connections hold"
+    ] = 192.0
 
 
 class Log(ConfigTable, frozen=True):
--- a/maddercart/rig/processes/rule_checker.py
+++ b/maddercart/rig/processes/rule_checker.py
@@ -17,7 +17,7 @@
 TOLD_WITHIN_SECONDS = 6.0  # after a change of the list, if discovery can be reached
 DISCONNECT_NOTICE_SECONDS = 0.1 + 0.05  # after its client has disconnected, an attempt may still begin
 DEADLINE_TOLERANCE_SECONDS = 0.15
-# So much before it came an attempt may be stamped: the system counts the age of data in ticks of 10 ms at most.
+# So early an attempt may be stamped: the system counts the age of data in ticks of 10 ms at most.
 STAMP_ERROR_SECONDS = 0.01
 NEVER = float("inf")
 
--- a/tests/lab/test_workers.py
+++ b/tests/lab/test_workers.py
@@ -12,7 +12,7 @@
 
 
 def test_workers_that_are_stopped_end_at_once_and_leave_nothing_to_wait_for() -> None:
-    """Interrupted sweeps waited without end, 4 of 42: the pool waited for workers that it had just started."""
+    """Interrupted sweeps waited without end, 4 of 42, for the result of a worker."""
     workers: Workers[None] = Workers(get_context("forkserver"))
     for _ in range(3):
         workers.start(partial(time.sleep, 60))
