--- a/maddercart/policy/balancer.py
+++ b/maddercart/policy/balancer.py
@@ -154,7 +154,9 @@
         """Schedules another `follow`; the pause is shorter if only `remaining_ns` are left for it."""
         pause = min(self.follow_pause, max(remaining_ns // 4, self.FOLLOW_MIN_NS // 4))
         self.follow_at = now + int(pause * self.random_uniform(0.5, 1.5))
-        self.follow_pause = min(2 * self.follow_pause, self.FOLLOW_MAX_NS, self.permits.max_list_age_ns)
+        # Spread by half, a pause and the call after it must end within the age that the list may have.
+        longest_pause = min(self.FOLLOW_MAX_NS, self.permits.max_list_age_ns // 2)
+        self.follow_pause = min(2 * self.follow_pause, longest_pause)
         self.due_at = min(self.due_at, self.follow_at)
 
     def take_query(
--- a/tests/test_list_changes.py
+++ b/tests/test_list_changes.py
@@ -26,6 +26,7 @@
     http_response,
     list_line,
     offering,
+    permits,
     sidecar_config,
 )
 from tests.test_sidecar import accept_watch, send_list_line
@@ -412,3 +413,18 @@
     gone = [list_line(name, health="DELETED") for name in ("s-1", "s-2")]
     upstreams.apply_listing(Listing(4, gone, whole=False))
     assert not upstreams.holders and not upstreams.addresses
+
+
+@pytest.mark.parametrize("grace_ms", [50, 300, 1000, 3000])
+def test_a_return_of_discovery_is_noticed_within_the_grace_where_lists_are_pushed(grace_ms: int) -> None:
+    """Review case 5: a pause of the whole grace, spread by half, was up to half as long again."""
+    longest = 0
+    for seed in range(20):
+        harness = BalancerHarness([entry(1)], seed=seed + 1, permits=permits(max_list_age_ns=grace_ms * MS))
+        for _ in range(12):
+            harness.balancer.list_failed(harness.now)
+            began = harness.now
+            while ("follow",) not in harness.advance(MS):
+                pass
+            longest = max(longest, harness.now - began)
+    assert longest <= grace_ms * MS * 3 // 4 + MS
