Eviction has a module of its own, and shortage of memory is relieved at all listeners

Need: applications.py had grown, both nodes set up memory alike, and in a gateway only the listener that was short of memory gave up what its own clients held; an answer that waited for memory had nobody give up any.

Change: sidecar/eviction.py (moved), ProcessMemory in sidecar/memory.py for both nodes; the ledger knows the evictors of all listeners, and who waits, also for an answer, calls them.

--- a/maddercart/gateway/node.py
+++ b/maddercart/gateway/node.py
@@ -18,15 +18,8 @@
 from maddercart.net.sockets import listen, parse_address
 from maddercart.sidecar.applications import ApplicationServer
 from maddercart.sidecar.clock import MonotonicClock
-from maddercart.sidecar.memory import (
-    DEFAULT_OWN_BYTES,
-    MEGABYTE_BYTES,
-    MemoryLedger,
-    ledger_limit,
-    memory_figures,
-    own_memory_bytes,
-)
-from maddercart.sidecar.node import ANSWER_BODY_SHARE, COUNTS_INTERVAL_NS, RESERVED_DESCRIPTORS
+from maddercart.sidecar.memory import ProcessMemory, answer_body_limit, memory_figures
+from maddercart.sidecar.node import COUNTS_INTERVAL_NS, RESERVED_DESCRIPTORS
 from maddercart.sidecar.signals import ignore_signals, install_signal_handlers
 from maddercart.sidecar.stopping import shut_down
 
@@ -53,8 +46,8 @@
         self.clock = MonotonicClock()
         self.loop = Loop(self.clock)
         self.seed = self.config.process.seed or secrets.randbits(63)
-        self.own_bytes = DEFAULT_OWN_BYTES  # of the program alone
-        self.ledger = MemoryLedger(ledger_limit(self.config.process.memory_mb, self.own_bytes))
+        self.memory = ProcessMemory(self.config.process.memory_mb)
+        self.ledger = self.memory.ledger
         self.routing = Routing(self.clock, self.seed, self.ledger)
         self.pools: dict[str, ActivePool] = {}  # by pool name
         # Pools that the current configuration no longer has, but that still hold queries or dispatches.
@@ -154,8 +147,8 @@
         ledger.
         """
         free = max(2, min(config.process.descriptors, getrlimit(RLIMIT_NOFILE)[0]) - RESERVED_DESCRIPTORS)
-        answer_bytes = int(config.process.memory_mb * MEGABYTE_BYTES * ANSWER_BODY_SHARE)
-        self.ledger.limit_bytes = ledger_limit(config.process.memory_mb, self.own_bytes)
+        answer_bytes = answer_body_limit(config.process.memory_mb)
+        self.memory.set_limit(config.process.memory_mb)
         listeners = len(self.active_listeners)
         memory_connections = max(MIN_CONNECTIONS, self.ledger.max_connections() // listeners)
         for active in self.active_listeners.values():
@@ -214,7 +207,7 @@
         )
         gc.collect()
         gc.freeze()
-        self.own_bytes = own_memory_bytes() or DEFAULT_OWN_BYTES
+        self.memory.measure_own()
         self.divide_resources(self.config)
         addresses = ",".join(
             "{}:{}".format(*active.sock.getsockname()) for active in self.active_listeners.values()
--- a/maddercart/sidecar/applications.py
+++ b/maddercart/sidecar/applications.py
@@ -6,11 +6,10 @@
 from collections.abc import Callable, Generator
 
 from maddercart.http.server import MAX_BODY_BYTES, Request, RequestError
-from maddercart.interface import MILLISECOND, SECOND
+from maddercart.interface import MILLISECOND
 from maddercart.messages.query import Query
 from maddercart.messages.responses import ClientResponse, bounced_response, client_error_response
 from maddercart.net.loop import (
-    DEADLINE_PASSED,
     NEXT_TURN,
     RANK_SOON,
     READ,
@@ -29,20 +28,17 @@
     write,
 )
 from maddercart.sidecar.application_connection import (
-    EVICTABLE_AFTER_NS,
-    EVICTABLE_FOR_MEMORY_NS,
     PHASE_TIMEOUTS_NS,
     ApplicationConnection,
     Phase,
 )
-from maddercart.sidecar.memory import RELIEVED_SHARE, ROOM_POLL_NS, MemoryLedger, memory_figures
+from maddercart.sidecar.eviction import Evictor, Phases
+from maddercart.sidecar.memory import MemoryLedger
 from maddercart.sidecar.request_handlers import AcceptedQuery, RejectedRequest, RequestHandler
 from maddercart.sidecar.request_reader import MEMORY_REFUSAL_STATUS, RequestReader
 
 log = logging.getLogger(__name__)
 
-SHORTAGE_LOG_INTERVAL_NS = SECOND
-
 
 class ApplicationServer:
     """Accepts and serves the connections of one listener."""
@@ -56,16 +52,15 @@
     ) -> None:  # fmt: skip
         self.loop, self.clock, self.handler, self.counts = loop, clock, handler, counts
         self.ledger = ledger
-        self.relieved_at = self.shortage_logged_at = 0  # when memory was last looked for
         # connections; bytes of a request's body
         self.max_connections, self.max_body_bytes = 1, MAX_BODY_BYTES
         self.connections: set[ApplicationConnection] = set()
-        # The connections in each phase and when they entered it, the longest first.
-        self.phases: dict[Phase, dict[ApplicationConnection, int]] = {phase: {} for phase in Phase}
+        self.phases: Phases = {phase: {} for phase in Phase}
+        self.evictor = Evictor(loop, clock, counts, ledger, self.phases)
         self.stopping = False
         self.answer_deadline: int | None = None  # by which queries are answered while the process stops
         self.accept_task: Task | None = None
-        self.reader = RequestReader(loop, clock, self.enter_phase, counts, self.relieve_memory)
+        self.reader = RequestReader(loop, clock, self.enter_phase, counts)
 
     # -- accepting
 
@@ -74,7 +69,7 @@
         while True:
             yield Wait(listener.fileno(), READ)
             try:
-                if len(self.connections) < self.max_connections or self.make_room():
+                if len(self.connections) < self.max_connections or self.evictor.make_room():
                     self.accept_batch(listener)
                     continue
             except OSError as error:
@@ -98,59 +93,6 @@
             connection.task = self.loop.spawn(self.serve(connection))
         return False
 
-    def make_room(self) -> bool:
-        """Evicts the connection that has been longest in its phase; true if a slot is free now or soon.
-        Clients that asked once and kept their connection could otherwise hold all slots and keep out
-        clients with queries."""
-        now = self.clock()
-        for phase, evictable_after in EVICTABLE_AFTER_NS.items():
-            for connection, since in self.phases[phase].items():
-                if now - since < evictable_after:
-                    break
-                if connection.task is not None and (phase == Phase.REFUSED or connection.is_silent()):
-                    return self.evict(connection, connection.task)
-        return False
-
-    def evict(self, connection: ApplicationConnection, task: Task) -> bool:
-        """True if the slot is free now or soon. A request that was read in part is answered before its
-        connection is closed."""
-        if connection.phase != Phase.PART:
-            self.counts["crowded_out"] += 1
-            self.loop.close(task)
-            return True
-        if self.phases[Phase.REFUSED]:  # a refused connection will free its slot in a moment
-            return False
-        connection.phase_deadline = self.clock()
-        self.loop.resume(task, DEADLINE_PASSED)
-        return True
-
-    def relieve_memory(self) -> None:
-        """Gives up what connections hold that have been longest in their phase: requests of which no more
-        comes, and answers that are not read. Called while input is not read for want of memory."""
-        now = self.clock()
-        if now - self.relieved_at < ROOM_POLL_NS:
-            return
-        self.relieved_at = now
-        if now - self.shortage_logged_at >= SHORTAGE_LOG_INTERVAL_NS:
-            self.shortage_logged_at = now
-            log.warning("memory is short", extra={**memory_figures(self.ledger), **self.phase_counts()})
-        wanted_bytes = self.ledger.bytes_over(RELIEVED_SHARE)
-        for phase, evictable_after in EVICTABLE_FOR_MEMORY_NS.items():
-            for connection, since in list(self.phases[phase].items()):
-                if now - since < evictable_after or wanted_bytes <= 0:
-                    break
-                if connection.task is not None and connection.account.is_large():
-                    wanted_bytes -= connection.account.total
-                    self.evict_for_memory(connection, connection.task)
-
-    def evict_for_memory(self, connection: ApplicationConnection, task: Task) -> None:
-        self.counts["evicted_for_memory"] += 1
-        if connection.phase == Phase.PART:
-            connection.evicted_for_memory = True
-            self.loop.wake(task)
-        else:
-            self.loop.close(task)
-
     def is_crowded(self) -> bool:
         """Whether a free slot is worth more than keeping a connection open: more than half of all slots are
         taken, and idle connections hold a third. Clients that ask once and keep their connection would hold
@@ -333,9 +275,6 @@
         log.debug("request rejected", extra={"status": status, "reason": reason})
         return client_error_response(status, reason)
 
-    def phase_counts(self) -> dict[str, int]:
-        return {phase.name.lower(): len(members) for phase, members in self.phases.items() if members}
-
     # -- stopping
 
     def close_idle(self) -> None:
--- a/maddercart/sidecar/dispatches.py
+++ b/maddercart/sidecar/dispatches.py
@@ -160,5 +160,6 @@
         while not (readable := account.readable_bytes(MemoryUse.ANSWERS, ANSWER_SHARE, READ_SIZE_BYTES)):
             if self.clock() >= deadline:
                 return None
+            self.ledger.relieve()
             yield wait_for_room(self.clock, deadline)
         return (yield from read(connection.sock, deadline, readable))
--- a/maddercart/sidecar/memory.py
+++ b/maddercart/sidecar/memory.py
@@ -10,6 +10,8 @@
 from contextlib import suppress
 from enum import Enum, auto
 from pathlib import Path
+from typing import Protocol
+from weakref import WeakSet
 
 from maddercart.net.loop import Wait
 
@@ -31,6 +33,7 @@
 
 # Of the limit of the process, for what the ledger doesn't estimate: fragments, buffers of single reads.
 RESERVE_SHARE, MIN_RESERVE_BYTES = 0.1, 3 * MEGABYTE_BYTES
+ANSWER_BODY_SHARE = 0.0375  # of the limit of the process, for the body of one answer
 MIN_LIMIT_BYTES = 2 * MEGABYTE_BYTES  # with less no client could be served
 UNLIMITED_BYTES = 1 << 62  # where nothing is held for clients
 DEFAULT_OWN_BYTES = 20 * MEGABYTE_BYTES  # of the program, where the system doesn't tell
@@ -50,11 +53,17 @@
     KEYS = auto()  # of rate limits
 
 
+class Reliever(Protocol):
+    def relieve_memory(self) -> None:
+        """Gives up some of what is held for clients that don't go on."""
+
+
 class MemoryLedger:
     """Sums what is held for each use. One ledger serves all listeners and pools of a process."""
 
     def __init__(self, limit_bytes: int) -> None:
         self.limit_bytes = limit_bytes
+        self.relievers: WeakSet[Reliever] = WeakSet()  # of all listeners
         self.held = dict.fromkeys(MemoryUse, 0)
         self.total = self.peak = 0
 
@@ -63,6 +72,11 @@
         self.total += change_bytes
         self.peak = max(self.peak, self.total)
 
+    def relieve(self) -> None:
+        """To be called while something is not read for want of memory."""
+        for reliever in list(self.relievers):
+            reliever.relieve_memory()
+
     def has_room(self, share: float) -> bool:
         """Whether less than `share` of the limit is held."""
         return self.total < share * self.limit_bytes
@@ -137,11 +151,6 @@
     return None
 
 
-def memory_figures(ledger: MemoryLedger) -> dict[str, int]:
-    """For the log, in kilobytes: the process's own memory and what the ledger holds."""
-    return {"own_kb": (own_memory_bytes() or 0) // KILOBYTE_BYTES, **ledger.figures()}
-
-
 def ledger_limit(memory_mb: float, own_bytes: int) -> int:
     """What connections may hold: the process's limit less the program's own need and a reserve."""
     memory_bytes = int(memory_mb * MEGABYTE_BYTES)
@@ -149,6 +158,31 @@
     return max(MIN_LIMIT_BYTES, memory_bytes - own_bytes - reserve)
 
 
+class ProcessMemory:
+    """The memory limit of a process: what the program itself needs, and the ledger for the rest."""
+
+    def __init__(self, memory_mb: float) -> None:
+        self.own_bytes = DEFAULT_OWN_BYTES
+        self.ledger = MemoryLedger(ledger_limit(memory_mb, self.own_bytes))
+
+    def measure_own(self) -> None:
+        """To be called once the program is set up and before it serves; takes effect with the next limit."""
+        self.own_bytes = own_memory_bytes() or DEFAULT_OWN_BYTES
+
+    def set_limit(self, memory_mb: float) -> None:
+        self.ledger.limit_bytes = ledger_limit(memory_mb, self.own_bytes)
+
+
+def memory_figures(ledger: MemoryLedger) -> dict[str, int]:
+    """For the log, in kilobytes: the process's own memory and what the ledger holds."""
+    return {"own_kb": (own_memory_bytes() or 0) // KILOBYTE_BYTES, **ledger.figures()}
+
+
+def answer_body_limit(memory_mb: float) -> int:
+    """The largest body of an answer, in bytes."""
+    return int(memory_mb * MEGABYTE_BYTES * ANSWER_BODY_SHARE)
+
+
 def wait_for_room(clock: Callable[[], int], deadline: int) -> Wait:
     """What a coroutine that found no room waits for before it looks again."""
     return Wait(deadline=min(deadline, clock() + ROOM_POLL_NS))
--- a/maddercart/sidecar/node.py
+++ b/maddercart/sidecar/node.py
@@ -19,14 +19,7 @@
 from maddercart.sidecar.clock import MonotonicClock
 from maddercart.sidecar.configuration import peering_enabled, sidecar_balancer_arguments
 from maddercart.sidecar.discovery import Discovery
-from maddercart.sidecar.memory import (
-    DEFAULT_OWN_BYTES,
-    MEGABYTE_BYTES,
-    MemoryLedger,
-    ledger_limit,
-    memory_figures,
-    own_memory_bytes,
-)
+from maddercart.sidecar.memory import ProcessMemory, answer_body_limit, memory_figures
 from maddercart.sidecar.peers import Peers
 from maddercart.sidecar.request_handlers import PlatformRequestHandler
 from maddercart.sidecar.signals import ignore_signals, install_signal_handlers
@@ -37,8 +30,6 @@
 
 # descriptors for the listener, discovery, epoll, signals, the log and what Python opens
 RESERVED_DESCRIPTORS = 32
-# Of the memory limit, for the body of one answer.
-ANSWER_BODY_SHARE = 0.0375
 COUNTS_INTERVAL_NS = 10 * SECOND
 # Retries of a new configuration file that can't be read at the moment.
 CONFIG_READ_ATTEMPTS, CONFIG_RETRY_NS = 10, 100 * MILLISECOND
@@ -57,8 +48,8 @@
         settings, clock = config.settings, self.loop.clock
         self.config, self.read_config = config, read_config
         self.clock = clock
-        self.own_bytes = DEFAULT_OWN_BYTES  # of the program alone
-        self.ledger = MemoryLedger(ledger_limit(config.limits.memory_mb, self.own_bytes))
+        self.memory = ProcessMemory(config.limits.memory_mb)
+        self.ledger = self.memory.ledger
         self.upstream_pool = UpstreamPool(
             self.loop, clock, int(config.seed, 16), settings.zones, settings.kinds,
             sidecar_balancer_arguments(config), lambda: self.discovery.follow(), self.ledger,
@@ -101,10 +92,10 @@
         """Applies limits and offering names, which may change while queries are held."""
         limits = config.settings.limits
         free = max(2, min(config.limits.sockets, getrlimit(RLIMIT_NOFILE)[0]) - RESERVED_DESCRIPTORS)
-        self.ledger.limit_bytes = ledger_limit(config.limits.memory_mb, self.own_bytes)
+        self.memory.set_limit(config.limits.memory_mb)
         self.applications.max_connections = min(free // 2, self.ledger.max_connections())
         self.upstream_pool.limit(
-            free - free // 2, int(config.limits.memory_mb * MEGABYTE_BYTES * ANSWER_BODY_SHARE),
+            free - free // 2, answer_body_limit(config.limits.memory_mb),
             nanos("limits.idle_close", limits.idle_close),
             nanos("limits.connect_timeout", limits.connect_timeout),
         )  # fmt: skip
@@ -162,7 +153,7 @@
         install_signal_handlers(self.loop, self.stop, self.reload)
         gc.collect()
         gc.freeze()  # objects from the start need no further garbage collection
-        self.own_bytes = own_memory_bytes() or DEFAULT_OWN_BYTES
+        self.memory.measure_own()
         self.apply_limits(self.config)
         if self.config.settings.limits.probing:
             log.warning("the settings allow probes, but this protocol has none")
--- a/maddercart/sidecar/request_reader.py
+++ b/maddercart/sidecar/request_reader.py
@@ -25,11 +25,8 @@
     def __init__(
         self, loop: Loop, clock: Callable[[], int],
         enter_phase: Callable[[ApplicationConnection, Phase], None], counts: Counter[str],
-        relieve_memory: Callable[[], None],
     ) -> None:  # fmt: skip
-        """`relieve_memory` is called where a connection finds no memory for its input."""
         self.loop, self.clock, self.enter_phase, self.counts = loop, clock, enter_phase, counts
-        self.relieve_memory = relieve_memory
 
     def read_request(
         self, connection: ApplicationConnection, protocol: ServerProtocol
@@ -72,7 +69,7 @@
             if connection.evicted_for_memory:
                 return None
             while not (readable := account.readable_bytes(MemoryUse.PARTS, REQUEST_SHARE, wanted_bytes)):
-                self.relieve_memory()
+                account.ledger.relieve()
                 connection.evicted_for_memory |= self.clock() >= connection.phase_deadline
                 if connection.evicted_for_memory:
                     return None
--- a/maddercart/sidecar/stopping.py
+++ b/maddercart/sidecar/stopping.py
@@ -8,6 +8,7 @@
 from maddercart.net.loop import Coroutine, Loop, Wait
 from maddercart.net.sockets import BACKLOG
 from maddercart.sidecar.applications import ApplicationServer
+from maddercart.sidecar.eviction import phase_counts
 
 log = logging.getLogger(__name__)
 
@@ -42,7 +43,7 @@
         applications.close_idle()
         yield Wait(deadline=clock() + POLL_INTERVAL_NS)
     if applications.connections:
-        log.warning("connections still open at exit", extra=applications.phase_counts())
+        log.warning("connections still open at exit", extra=phase_counts(applications.phases))
     on_stopped()
 
 
--- a/tests/faults/test_clients_that_send_ahead.py
+++ b/tests/faults/test_clients_that_send_ahead.py
@@ -117,7 +117,7 @@
     clock = iter([*instants, SECOND - RequestReader.REFUSAL_MARGIN_NS]).__next__
     with socket.socketpair()[0] as sock:
         sock.setblocking(False)
-        reader = RequestReader(Loop(lambda: 0), clock, lambda *_: None, Counter(), lambda: None)
+        reader = RequestReader(Loop(lambda: 0), clock, lambda *_: None, Counter())
         reading = reader.read_until_known(
             ApplicationConnection(sock, 0, MemoryLedger(1 << 20)), deadline=SECOND
         )
